--- a/cmd/burdockd/main.go
+++ b/cmd/burdockd/main.go
@@ -1,4 +1,6 @@
-// Command burdockd is the router's daemon: one beside each backend server.
+// Command burdockd is the router's daemon: one beside each backend server. With
+// the argument sidecar it runs on a platform that keeps a store and no list of
+// hosts.
 package main
 
 import (
@@ -28,6 +30,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	if len(args) > 0 && args[0] == "sidecar" {
+		return runSidecar(args[1:])
+	}
 	s, err := settings.Load(args)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
--- a/internal/admitting/gate.go
+++ b/internal/admitting/gate.go
@@ -81,7 +81,16 @@
 // Acquire waits for a slot. It fails with Overloaded or DeadlineBeforeStart, both
 // not run, or with the error of ctx.
 func (g *Gate) Acquire(ctx context.Context, r *pipeline.Request) (func(time.Duration), error) {
-	id, wait, cmd := g.arrive(r)
+	return g.Admit(ctx, admission.Arrival{
+		Class:    ClassOf(r),
+		Tenant:   r.Service.Tenant,
+		Deadline: r.Deadline,
+	})
+}
+
+// Admit is Acquire for work that is described by an arrival; its ID is set here.
+func (g *Gate) Admit(ctx context.Context, a admission.Arrival) (func(time.Duration), error) {
+	id, wait, cmd := g.arrive(a)
 	if cmd == nil {
 		select {
 		case cmd = <-wait:
@@ -98,12 +107,7 @@
 
 // arrive returns the command for the request if it is decided at once, else the
 // channel on which it will come.
-func (g *Gate) arrive(r *pipeline.Request) (admission.ID, <-chan admission.Command, admission.Command) {
-	a := admission.Arrival{
-		Class:    ClassOf(r),
-		Tenant:   r.Service.Tenant,
-		Deadline: r.Deadline,
-	}
+func (g *Gate) arrive(a admission.Arrival) (admission.ID, <-chan admission.Command, admission.Command) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.next++
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -11,13 +11,14 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/httpconn"
 	"github.com/burdockfold/burdockfold/internal/pipeline"
 )
 
 // exchange is one request and its answer on one connection.
 type exchange struct {
-	pool     *connPool
-	conn     *conn
+	pool     *httpconn.Pool
+	conn     *httpconn.Conn
 	req      *pipeline.Request
 	due      time.Time
 	left     time.Duration
@@ -42,7 +43,7 @@
 func (x *exchange) end(keep bool) {
 	x.once.Do(func() {
 		stopped := x.unwatch()
-		x.pool.put(x.conn, keep && stopped)
+		x.pool.Put(x.conn, keep && stopped)
 	})
 }
 
@@ -60,7 +61,7 @@
 }
 
 func (x *exchange) fail(err error) error {
-	return failure(x.conn.written, x.canceled.Load(), err)
+	return failure(x.conn.Written, x.canceled.Load(), err)
 }
 
 func (x *exchange) send() error {
@@ -69,16 +70,16 @@
 		h.Reset()
 		headerPool.Put(h)
 	}()
-	requestHeader(h, x.req, x.pool.addr, x.left)
-	if err := h.Write(x.conn.w); err != nil {
+	requestHeader(h, x.req, x.pool.Addr, x.left)
+	if err := h.Write(x.conn.W); err != nil {
 		return err
 	}
 	if x.req.Body != nil {
-		if err := writeBody(x.conn.w, x.req.Body, x.req.ContentLength); err != nil {
+		if err := httpconn.WriteBody(x.conn.W, x.req.Body, x.req.ContentLength); err != nil {
 			return err
 		}
 	}
-	return x.conn.w.Flush()
+	return x.conn.W.Flush()
 }
 
 var headerPool = sync.Pool{New: func() any { return new(fasthttp.RequestHeader) }}
@@ -86,7 +87,7 @@
 // answerAfterSendError looks for an answer that the server gave before it had
 // read the whole request, such as a refusal of the body's size.
 func (x *exchange) answerAfterSendError(sendErr error) (*pipeline.Response, error) {
-	if x.conn.written == 0 || x.canceled.Load() || x.conn.r.Buffered() == 0 && !readable(x.conn.Conn) {
+	if x.conn.Written == 0 || x.canceled.Load() || x.conn.R.Buffered() == 0 && !httpconn.Readable(x.conn.Conn) {
 		return nil, x.fail(sendErr)
 	}
 	resp, err := x.receive()
@@ -116,7 +117,7 @@
 // readHeader reads the final header and skips informational ones.
 func readHeader(x *exchange, h *fasthttp.ResponseHeader) error {
 	for {
-		if err := h.Read(x.conn.r); err != nil {
+		if err := h.Read(x.conn.R); err != nil {
 			return err
 		}
 		if h.StatusCode() >= fasthttp.StatusOK {
@@ -138,7 +139,7 @@
 		x.end(keep)
 		return resp, nil
 	}
-	body, n, err := answerReader(x.conn.r, h)
+	body, n, err := httpconn.AnswerReader(x.conn.R, h)
 	if err != nil {
 		return nil, errkind.New(errkind.AnswerCut, "%w", err)
 	}
--- a/internal/backend/executor.go
+++ b/internal/backend/executor.go
@@ -14,6 +14,7 @@
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/httpconn"
 	"github.com/burdockfold/burdockfold/internal/pipeline"
 )
 
@@ -33,7 +34,7 @@
 	canceler Canceler
 
 	mu   sync.Mutex // guards pool
-	pool *connPool
+	pool *httpconn.Pool
 }
 
 // NewExecutor returns an executor for the registry's backend server.
@@ -46,7 +47,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.pool != nil {
-		e.pool.close()
+		e.pool.Close()
 	}
 }
 
@@ -66,23 +67,23 @@
 
 // poolFor returns the pool of the announced address, which changes when the
 // server restarts elsewhere.
-func (e *Executor) poolFor(a Announcement) *connPool {
+func (e *Executor) poolFor(a Announcement) *httpconn.Pool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.pool == nil || e.pool.addr != a.Addr || cap(e.pool.tokens) != int(a.Connections) {
+	if e.pool == nil || e.pool.Addr != a.Addr || e.pool.Limit() != int(a.Connections) {
 		if e.pool != nil {
-			e.pool.close()
+			e.pool.Close()
 		}
-		e.pool = newConnPool(a.Addr, int(a.Connections))
+		e.pool = httpconn.NewPool(a.Addr, int(a.Connections))
 	}
 	return e.pool
 }
 
 // attempt makes one exchange. The last result asks for another attempt on a
 // fresh connection: the idle one was dead and no byte of the request left.
-func (e *Executor) attempt(ctx context.Context, p *connPool, a Announcement, r *pipeline.Request, fresh bool) (*pipeline.Response, error, bool) {
-	c, err := p.get(ctx, fresh)
-	if errors.Is(err, errNoConnection) {
+func (e *Executor) attempt(ctx context.Context, p *httpconn.Pool, a Announcement, r *pipeline.Request, fresh bool) (*pipeline.Response, error, bool) {
+	c, err := p.Get(ctx, fresh)
+	if errors.Is(err, httpconn.ErrNoConnection) {
 		return nil, errkind.New(errkind.Overloaded, "no connection to the backend server is free: %w", err), false
 	}
 	if err != nil {
@@ -93,7 +94,7 @@
 	resp, err := x.run()
 	if err != nil {
 		x.end(false)
-		again := c.written == 0 && c.reused && !fresh && !x.canceled.Load()
+		again := c.Written == 0 && c.Reused && !fresh && !x.canceled.Load()
 		return nil, err, again
 	}
 	return resp, nil, false
--- a/internal/callerport/answer.go
+++ b/internal/callerport/answer.go
@@ -14,6 +14,7 @@
 
 	"github.com/burdockfold/burdockfold/internal/core/config"
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/hop"
 	"github.com/burdockfold/burdockfold/internal/pipeline"
 )
 
@@ -101,7 +102,7 @@
 	named := answerTokens(resp.Header)
 	for i := range resp.Header {
 		f := &resp.Header[i]
-		if !hopByHop(f.Name, named) && !ownField(f.Name) {
+		if !hop.HopByHop(f.Name, named...) && !ownField(f.Name) {
 			out.Header.Add(f.Name, f.Value)
 		}
 	}
@@ -125,13 +126,13 @@
 			values = append(values, []byte(fields[i].Value))
 		}
 	}
-	return connectionTokens(values)
+	return hop.ConnectionTokens(values)
 }
 
 // ownFields are the fields of an answer that only the daemon may set.
 var ownFields = []string{headerRequestID, headerTruth, headerServedBy, headerOwner, headerSlice}
 
-func ownField(name string) bool { return containsFold(ownFields, name) }
+func ownField(name string) bool { return hop.ContainsFold(ownFields, name) }
 
 // answerError writes an error of the closed list as problem details.
 func (p *Port) answerError(fctx *fasthttp.RequestCtx, id string, err error) {
--- a/internal/callerport/conn.go
+++ b/internal/callerport/conn.go
@@ -7,11 +7,9 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 )
 
 // A closing connection whose request was not read to its end is drained first,
@@ -82,23 +80,3 @@
 		c.linger.Store(true)
 	}
 }
-
-// gone reports whether the caller has closed the connection or its sending
-// side. Bytes that wait, as of a pipelined request, hide it.
-func (c *conn) gone() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	var gone bool
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		gone = (n == 0 && err == nil) || err == unix.ECONNRESET
-	})
-	return err != nil || gone
-}
--- a/internal/callerport/port.go
+++ b/internal/callerport/port.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/burdockfold/burdockfold/internal/connwatch"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/errkind"
@@ -30,7 +31,7 @@
 	log     *zap.Logger
 	app     *fiber.App
 	ids     idSource
-	watch   *watcher
+	watch   *connwatch.Watcher
 	duties  *duty.Group
 	conns   atomic.Int64
 
@@ -53,7 +54,7 @@
 		clock:   clock,
 		log:     log,
 		ids:     ids,
-		watch:   newWatcher(cfg.WatchInterval),
+		watch:   connwatch.New(cfg.WatchInterval),
 		duties:  duty.NewGroup(context.Background()),
 	}
 	p.app = p.newApp()
@@ -83,7 +84,7 @@
 
 // Serve accepts callers until Shutdown. It returns nil after a shutdown.
 func (p *Port) Serve(ln net.Listener) error {
-	p.duties.Go("caller-watch", p.watch.run)
+	p.duties.Go("caller-watch", p.watch.Run)
 	err := p.app.Listener(&listener{Listener: ln, open: &p.conns}, fiber.ListenConfig{DisableStartupMessage: true})
 	if err != nil {
 		return fmt.Errorf("callerport: serve: %w", err)
--- a/internal/callerport/precheck.go
+++ b/internal/callerport/precheck.go
@@ -1,7 +1,6 @@
 package callerport
 
 import (
-	"bytes"
 	"errors"
 	"net"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"github.com/burdockfold/burdockfold/internal/core/config"
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/httpconn"
 	"github.com/burdockfold/burdockfold/internal/pipeline"
 )
 
@@ -74,15 +74,15 @@
 
 // checkFraming refuses what two HTTP parsers might read differently.
 func checkFraming(h *fasthttp.RequestHeader) *errkind.Error {
+	if err := httpconn.CheckHeader(h.RawHeaders()); err != nil {
+		return errkind.New(errkind.Malformed, "%w", err)
+	}
 	if !h.IsHTTP11() && h.ContentLength() == chunked {
 		return errkind.New(errkind.Malformed, "chunked body in an HTTP/1.0 request")
 	}
 	if h.IsHTTP11() && len(h.Host()) == 0 {
 		return errkind.New(errkind.Malformed, "no Host field")
 	}
-	if h.ContentLength() == chunked && hasField(h.RawHeaders(), fasthttp.HeaderContentLength) {
-		return errkind.New(errkind.Malformed, "both Content-Length and Transfer-Encoding")
-	}
 	if !knownMethod(h.Method()) {
 		return errkind.New(errkind.Malformed, "method %q", h.Method())
 	}
@@ -92,17 +92,6 @@
 // chunked is the library's content length of a chunked body.
 const chunked = -1
 
-// hasField reports whether a raw header has a field of the name.
-func hasField(raw []byte, name string) bool {
-	for line := range bytes.Lines(raw) {
-		field, _, ok := bytes.Cut(line, []byte{':'})
-		if ok && bytes.EqualFold(bytes.TrimSpace(field), []byte(name)) {
-			return true
-		}
-	}
-	return false
-}
-
 func hasToken(values [][]byte, token string) bool {
 	for _, v := range values {
 		for part := range strings.SplitSeq(string(v), ",") {
--- a/internal/callerport/request.go
+++ b/internal/callerport/request.go
@@ -7,7 +7,9 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/burdockfold/burdockfold/internal/connwatch"
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/hop"
 	"github.com/burdockfold/burdockfold/internal/pipeline"
 )
 
@@ -37,7 +39,7 @@
 	cancel context.CancelFunc
 	req    *pipeline.Request
 	body   *requestBody // nil without a body
-	seen   bool         // guarded by watcher.mu
+	watch  *connwatch.Call
 }
 
 func (p *Port) newCall(fctx *fasthttp.RequestCtx) (*call, error) {
@@ -56,7 +58,7 @@
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	if c.conn != nil {
-		p.watch.add(c)
+		c.watch = p.watch.Add(c.conn.Conn, c.cancel)
 	}
 	return c, nil
 }
@@ -64,7 +66,7 @@
 // end releases what the call holds, after its answer was written. A body that
 // was not read to its end closes the connection.
 func (c *call) end() {
-	c.port.watch.remove(c)
+	c.port.watch.Remove(c.watch)
 	c.cancel()
 	if c.body == nil || c.body.finish() {
 		return
@@ -151,7 +153,7 @@
 // copyRequestHeader copies the end-to-end fields; those with a field of their
 // own in the request are moved there.
 func copyRequestHeader(r *pipeline.Request, h *fasthttp.RequestHeader) {
-	named := connectionTokens(h.PeekAll(fasthttp.HeaderConnection))
+	named := hop.ConnectionTokens(h.PeekAll(fasthttp.HeaderConnection))
 	r.Header = make([]pipeline.HeaderField, 0, h.Len())
 	for k, v := range h.All() {
 		switch string(k) {
@@ -170,7 +172,7 @@
 			continue
 		}
 		name := string(k)
-		if hopByHop(name, named) {
+		if hop.HopByHop(name, named...) {
 			continue
 		}
 		r.Header = append(r.Header, pipeline.HeaderField{Name: name, Value: string(v)})
--- /dev/null
+++ b/internal/core/keyrange/agent.go
@@ -0,0 +1,344 @@
+package keyrange
+
+import (
+	"time"
+
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/roster"
+)
+
+// Config sets the times of an agent. All daemons of a service use the same Lease
+// and DriftPerMille.
+type Config struct {
+	Lease         time.Duration // a read of the table covers grants this long
+	Hold          time.Duration // longest hold of a grant
+	DriftPerMille int           // bound of the drift of clocks, in 1/1000
+	SuspectAfter  time.Duration // silence of an owner after which it is suspected
+	Settle        time.Duration // time after the start before keys without owner are given out
+	Stagger       time.Duration // delay between the planners, by rank
+	BalanceEvery  time.Duration // least time between two moves for balance
+}
+
+// Candidate is a backend server of the service that may own keys.
+type Candidate struct {
+	Owner Owner
+	Ready bool    // takes new work
+	Alive bool    // its daemon was heard of lately
+	Slots int     // requests that it runs at once
+	Busy  float64 // slots in use and waiting requests over slots
+}
+
+// Held is a row that a server says it holds or still works on.
+type Held struct {
+	Span
+	Fence uint64
+}
+
+// Freed is a range that a server released, with what the next holder gets.
+type Freed struct {
+	Span
+	Handover string
+}
+
+// Beat is one heartbeat of the server beside the daemon.
+type Beat struct {
+	Life     roster.Life
+	Sequence int64
+	Draining bool
+	Held     []Held
+	Freed    []Freed
+}
+
+// Grant is what a server is to hold from a heartbeat on. A nil Grant renews
+// nothing.
+type Grant struct {
+	Rows []Row
+	Hold time.Duration // counted by the server from when it sent its heartbeat
+}
+
+// Write asks for an append of the table on the condition that the stream ends at
+// the offset. Its outcome is told by Wrote.
+type Write struct {
+	At     ident.Offset
+	Table  Table
+	Reason string // for the log
+}
+
+// gift is a range that the agent wants another server to have.
+type gift struct {
+	Span
+	to    Owner
+	since ident.Instant
+}
+
+// grantNote remembers a range in the last grants.
+type grantNote struct {
+	Span
+	sequence int64 // of the last heartbeat whose answer granted it
+}
+
+// Agent holds the decisions of one daemon about one service. It is not safe for
+// concurrent use.
+type Agent struct {
+	cfg     Config
+	member  ident.Member
+	started ident.Instant
+
+	table     Table
+	next      ident.Offset  // end of the stream when the table was read
+	known     bool          // the table was read
+	confirmed ident.Instant // the table was the newest at this instant
+	pending   *Write        // its outcome is not known yet
+	inFlight  bool          // pending was sent and not answered
+
+	life      roster.Life // the server's current life; zero before its first heartbeat
+	ready     bool
+	draining  bool
+	lost      bool          // the server cannot be reached, or took its leave
+	beatAt    ident.Instant // last heartbeat accepted
+	sequence  int64         // of the last heartbeat
+	held      []Held        // by the last heartbeat
+	freed     []Freed       // released and not yet given on
+	granted   []grantNote   // ranges that the current life may hold
+	holdEnds  ident.Instant // no grant sent so far is good after it
+	gifts     []gift
+	seen      map[ident.Member]ident.Instant // when a suspicion in the table was first read
+	silent    map[ident.Host]ident.Instant   // owners that are not alive, since when
+	gapSince  ident.Instant
+	balanceAt ident.Instant
+	load      load
+}
+
+// NewAgent returns the agent of a daemon's process, which granted nothing yet.
+// Grants of its predecessor may still run.
+func NewAgent(cfg Config, m ident.Member, now ident.Instant) *Agent {
+	return &Agent{
+		cfg:      cfg,
+		member:   m,
+		started:  now,
+		holdEnds: now.Add(cfg.stretched(cfg.Hold)),
+		seen:     make(map[ident.Member]ident.Instant),
+		silent:   make(map[ident.Host]ident.Instant),
+	}
+}
+
+// stretched is how long another clock may take to count d.
+func (c Config) stretched(d time.Duration) time.Duration {
+	return d + d*time.Duration(c.DriftPerMille)/1000 + time.Millisecond
+}
+
+// Table returns the table as last read.
+func (a *Agent) Table() (Table, bool) { return a.table, a.known }
+
+// Life returns the life of the server beside the daemon.
+func (a *Agent) Life() (roster.Life, bool) { return a.life, a.life != roster.Life{} }
+
+// Read takes in the table of a read that was sent at one instant and answered at
+// another; next is the end of the stream then. A read from before what is known
+// is ignored.
+func (a *Agent) Read(t Table, next ident.Offset, sent, answered ident.Instant) {
+	if a.known && next < a.next {
+		return
+	}
+	a.table, a.next, a.known = t, next, true
+	if a.pending != nil && next > a.pending.At {
+		a.pending = nil // it was appended, or never will be
+	}
+	if !t.Suspected(a.member) && sent > a.confirmed {
+		a.confirmed = sent
+	}
+	a.noteSuspicions(answered)
+}
+
+// noteSuspicions remembers from when on each suspicion was certainly to be read.
+func (a *Agent) noteSuspicions(answered ident.Instant) {
+	for m := range a.seen {
+		if !a.table.Suspected(m) {
+			delete(a.seen, m)
+		}
+	}
+	for _, s := range a.table.Suspects {
+		if _, ok := a.seen[s.Member]; !ok {
+			a.seen[s.Member] = answered
+		}
+	}
+}
+
+// Moved takes in a read that found no other table than the one known.
+func (a *Agent) Moved(next ident.Offset, sent, answered ident.Instant) {
+	if a.known {
+		a.Read(a.table, next, sent, answered)
+	}
+}
+
+// Outcome is what is known of a write.
+type Outcome uint8
+
+// The outcomes of a write.
+const (
+	Written Outcome = iota
+	Refused         // certainly not written, now or later
+	Unclear         // may be written, perhaps later
+)
+
+// Wrote takes in the outcome of a write. A write whose outcome is unclear stays
+// pending until a read shows what stands at its offset.
+func (a *Agent) Wrote(w Write, o Outcome, sent, answered ident.Instant) {
+	a.inFlight = false
+	switch o {
+	case Written:
+		a.Read(w.Table, w.At+1, sent, answered)
+	case Refused:
+		a.pending = nil
+	}
+}
+
+// leaseLeft is how long grants may still run. It is negative after the lease.
+func (a *Agent) leaseLeft(now ident.Instant) time.Duration {
+	if a.confirmed == 0 {
+		return 0
+	}
+	return a.confirmed.Add(a.cfg.Lease).Sub(now)
+}
+
+// self is the owner that rows of this daemon name.
+func (a *Agent) self() Owner { return Owner{a.member, a.life} }
+
+// Beat takes in a heartbeat and returns what the server is to hold. A heartbeat
+// of an earlier life, or out of order, renews nothing.
+func (a *Agent) Beat(b Beat, now ident.Instant) *Grant {
+	if b.Life != a.life {
+		if b.Life.Born < a.life.Born {
+			return nil
+		}
+		a.adopt(b.Life)
+	} else if b.Sequence <= a.sequence {
+		return nil
+	}
+	a.lost, a.beatAt, a.sequence, a.held = false, now, b.Sequence, b.Held
+	a.ready, a.draining = !b.Draining, b.Draining
+	a.freed = append(a.freed, b.Freed...)
+	return a.grant(b.Sequence, now)
+}
+
+// adopt starts with a new life of the server, which holds nothing. The former
+// one has ended, and its grants with it.
+func (a *Agent) adopt(l roster.Life) {
+	a.life, a.sequence = l, 0
+	a.granted, a.freed, a.held, a.gifts = nil, nil, nil, nil
+}
+
+// grant returns the rows that the server is to hold, nil when the lease is over.
+func (a *Agent) grant(sequence int64, now ident.Instant) *Grant {
+	left := a.leaseLeft(now)
+	hold := min(a.cfg.Hold, left-left*time.Duration(a.cfg.DriftPerMille)/1000)
+	if !a.known || hold <= 0 {
+		return nil
+	}
+	g := &Grant{Hold: hold}
+	for _, r := range a.table.Rows {
+		if r.Owner == a.self() {
+			g.Rows = append(g.Rows, a.kept(r)...)
+		}
+	}
+	for _, r := range g.Rows {
+		a.granted = note(a.granted, r.Span, sequence)
+	}
+	if len(g.Rows) > 0 {
+		a.holdEnds = max(a.holdEnds, now.Add(a.cfg.stretched(hold)))
+	}
+	return g
+}
+
+// kept returns the parts of an own row that are not given away.
+func (a *Agent) kept(r Row) []Row {
+	parts := []Span{r.Span}
+	for _, g := range a.gifts {
+		var rest []Span
+		for _, p := range parts {
+			rest = append(rest, p.without(g.Span)...)
+		}
+		parts = rest
+	}
+	rows := make([]Row, 0, len(parts))
+	for _, p := range parts {
+		part := r
+		part.Span = p
+		rows = append(rows, part)
+	}
+	return rows
+}
+
+// note replaces what is remembered of a span by a newer grant.
+func note(notes []grantNote, s Span, sequence int64) []grantNote {
+	var out []grantNote
+	for _, n := range notes {
+		for _, rest := range n.Span.without(s) {
+			out = append(out, grantNote{rest, n.sequence})
+		}
+	}
+	return append(out, grantNote{s, sequence})
+}
+
+// ServerLost notes that the server cannot be reached or took its leave. It may
+// still hold what it was granted: a refused connection is no proof that its
+// process has ended.
+func (a *Agent) ServerLost() { a.lost, a.ready = true, false }
+
+// free reports whether the server certainly does not hold any key of a span, now
+// and later without another grant: every grant has run out, or a heartbeat that
+// it sent after the last answer that granted a key of the span does not name one.
+func (a *Agent) free(s Span, now ident.Instant) bool {
+	if now > a.holdEnds {
+		return true
+	}
+	if a.life == (roster.Life{}) {
+		return false // the grants of the process before this one may still run
+	}
+	for _, h := range a.held {
+		if h.Meets(s) {
+			return false
+		}
+	}
+	for _, n := range a.granted {
+		if n.Meets(s) && n.sequence >= a.sequence {
+			return false
+		}
+	}
+	return true
+}
+
+// Serves reports whether the server may hold a key now as far as this daemon
+// granted it.
+func (a *Agent) Serves(k Key, now ident.Instant) bool {
+	r, ok := a.table.Find(k)
+	if !ok || r.Owner != a.self() || now > a.holdEnds {
+		return false
+	}
+	for _, g := range a.gifts {
+		if g.Has(k) {
+			return false
+		}
+	}
+	for _, h := range a.held {
+		if h.Has(k) && h.Fence == r.Fence {
+			return true
+		}
+	}
+	for _, n := range a.granted {
+		if n.Has(k) {
+			return true
+		}
+	}
+	return false
+}
+
+// handover returns what the server gave out when it released the span.
+func (a *Agent) handover(s Span) string {
+	for i := len(a.freed) - 1; i >= 0; i-- {
+		if a.freed[i].Covers(s) {
+			return a.freed[i].Handover
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/keyrange/balance.go
@@ -0,0 +1,113 @@
+package keyrange
+
+import (
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+)
+
+// Thresholds of moves for balance.
+const (
+	busyEnough  = 0.6 // use of the own slots below which load moves nothing
+	idleFactor  = 0.5 // the receiver is at most this busy in terms of the giver
+	fewKeys     = 0.5 // a server with less than this part of its share has few
+	surplusKeys = 1.1 // a server with more than this part of its share has a surplus
+)
+
+// balance marks a part of the own keys for another server: for one that has few
+// keys, as after it joined, or for one that is far less busy.
+func (a *Agent) balance(now ident.Instant, cs []Candidate) {
+	if len(a.gifts) > 0 || a.pending != nil || now < a.balanceAt || !a.keepsServing(now) || !a.ready {
+		return
+	}
+	a.load.decay(a.cfg.BalanceEvery)
+	a.balanceAt = now.Add(a.cfg.BalanceEvery)
+	if a.share(now, cs) {
+		return
+	}
+	a.relieve(now, cs)
+}
+
+// share gives a surplus of keys to a server that has few. Givers and receivers
+// are paired by their order, so that givers who decide at once do not all choose
+// the same receiver.
+func (a *Agent) share(now ident.Instant, cs []Candidate) bool {
+	var givers, receivers []Candidate
+	slots := 0
+	for _, c := range cs {
+		if c.Ready && c.Alive {
+			slots += c.Slots
+		}
+	}
+	own, place := 0, -1
+	for _, c := range cs {
+		if !c.Ready || !c.Alive {
+			continue
+		}
+		fair := float64(int(MaxKey)+1) * float64(c.Slots) / float64(slots)
+		keys := a.table.KeysOf(c.Owner.Member.Host)
+		switch {
+		case float64(keys) < fewKeys*fair:
+			receivers = append(receivers, c)
+		case float64(keys) > surplusKeys*fair:
+			if c.Owner.Member == a.member {
+				place, own = len(givers), keys-int(fair)
+			}
+			givers = append(givers, c)
+		}
+	}
+	if place < 0 || len(receivers) == 0 {
+		return false
+	}
+	to := receivers[place%len(receivers)]
+	return a.giveKeys(own, to.Owner, now)
+}
+
+// giveKeys marks about n keys of the largest own row, at its end.
+func (a *Agent) giveKeys(n int, to Owner, now ident.Instant) bool {
+	var best Span
+	found := false
+	for _, r := range a.table.Rows {
+		if r.Owner == a.self() && (!found || r.Len() > best.Len()) {
+			best, found = r.Span, true
+		}
+	}
+	if !found || n <= 0 {
+		return false
+	}
+	if n < best.Len() {
+		best.From = best.To - Key(n-1)
+	}
+	a.gifts = append(a.gifts, gift{best, to, now})
+	return true
+}
+
+// relieve gives a part of the busiest own row to the least busy server.
+func (a *Agent) relieve(now ident.Instant, cs []Candidate) {
+	var self Candidate
+	for _, c := range cs {
+		if c.Owner == a.self() {
+			self = c
+		}
+	}
+	to, ok := a.leastLoaded(cs)
+	if !ok || self.Busy < busyEnough || to.Busy > idleFactor*self.Busy {
+		return
+	}
+	var total, most float64
+	var busiest Span
+	for _, r := range a.table.Rows {
+		if r.Owner != a.self() {
+			continue
+		}
+		load := a.load.of(r.Span)
+		total += load
+		if load > most {
+			busiest, most = r.Span, load
+		}
+	}
+	if most == 0 || busiest.Len() < 2 {
+		return
+	}
+	want := total * (self.Busy - to.Busy) / (2 * self.Busy)
+	part, _ := a.load.part(busiest, min(want, most))
+	a.gifts = append(a.gifts, gift{part, to.Owner, now})
+}
--- /dev/null
+++ b/internal/core/retry/window_test.go
@@ -0,0 +1,44 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+)
+
+// In every sliding window the repeats stay within the ratio of the requests of
+// that window and the one before it, plus the allowance.
+func TestWindowBudgetHoldsInEveryWindow(t *testing.T) {
+	const window, ratio, allowance = 10 * time.Second, 0.2, 3.0
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewWindowBudget(window, ratio)
+		var requests, repeats []ident.Instant
+		now := ident.Instant(time.Hour)
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests = append(requests, now)
+			} else if b.Repeat(now, allowance) {
+				repeats = append(repeats, now)
+			}
+		}
+		within := func(ts []ident.Instant, from, to ident.Instant) (n int) {
+			for _, x := range ts {
+				if x >= from && x <= to {
+					n++
+				}
+			}
+			return n
+		}
+		for _, end := range repeats {
+			got := within(repeats, end.Add(-window), end)
+			allowed := ratio*float64(within(requests, end.Add(-2*window), end)) + allowance
+			assert.Assert(t, float64(got) <= allowed, "%d repeats, %v allowed", got, allowed)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/routes/routes.go
@@ -0,0 +1,133 @@
+// Package routes decides which service a request goes to: a table of routes by
+// host and path prefix, made from one version of the operators' configuration.
+// The package is pure.
+package routes
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+)
+
+// Version orders configurations; a greater one replaces a smaller one.
+type Version uint64
+
+// Share is one part of a route's traffic.
+type Share struct {
+	Service ident.Service
+	Weight  int
+}
+
+// Route sends the requests of a host whose path begins with a prefix to a
+// service, or to several by weight.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string
+	Shares      []Share
+	Idempotent  bool          // a request may run more than once
+	Timeout     time.Duration // longest time until the final answer; zero: no limit
+	Target      time.Duration // time within which an answer is worth most
+	MaxAttempts int           // backend servers that one request may reach
+	Priority    int           // 0 is the most urgent
+}
+
+// Service is a set of backend servers that run the same program.
+type Service struct {
+	Name           ident.Service
+	HealthPath     string
+	MaxConnections int           // to one backend server, of all callers
+	Sharded        bool          // divided by key
+	Warm           time.Duration // time that keys are slow after a move without handover
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  Version
+	Routes   []Route
+	Services map[ident.Service]Service
+	Limits   Limits
+}
+
+// Validate reports every problem of the configuration.
+func (c Config) Validate() error {
+	var problems []error
+	for _, r := range c.Routes {
+		if err := c.checkRoute(r); err != nil {
+			problems = append(problems, fmt.Errorf("routes: route %q: %w", r.Name, err))
+		}
+	}
+	return errors.Join(problems...)
+}
+
+func (c Config) checkRoute(r Route) error {
+	switch {
+	case r.Host == "":
+		return errors.New("no host")
+	case !strings.HasPrefix(r.Prefix, "/"):
+		return fmt.Errorf("prefix %q does not begin with a slash", r.Prefix)
+	case len(r.Shares) == 0:
+		return errors.New("no service")
+	case r.Timeout < 0 || r.MaxAttempts < 0:
+		return errors.New("negative limit")
+	}
+	total := 0
+	for _, s := range r.Shares {
+		if _, ok := c.Services[s.Service]; !ok {
+			return fmt.Errorf("unknown service %q", s.Service)
+		}
+		if s.Weight < 0 {
+			return fmt.Errorf("negative weight of service %q", s.Service)
+		}
+		total += s.Weight
+	}
+	if total == 0 {
+		return errors.New("no weight")
+	}
+	return nil
+}
+
+// Table finds routes. It is immutable.
+type Table struct {
+	Config
+	byHost map[string][]*Route // longest prefix first
+}
+
+// NewTable returns the table of a configuration.
+func NewTable(c Config) *Table {
+	t := &Table{Config: c, byHost: make(map[string][]*Route)}
+	for i := range c.Routes {
+		host := strings.ToLower(c.Routes[i].Host)
+		t.byHost[host] = append(t.byHost[host], &c.Routes[i])
+	}
+	for _, rs := range t.byHost {
+		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of the path among those of the
+// host. The host may carry a port.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	host, _, _ = strings.Cut(host, ":")
+	path, _, _ = strings.Cut(path, "?")
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/core/routes/split.go
@@ -0,0 +1,40 @@
+package routes
+
+import "github.com/burdockfold/burdockfold/internal/core/ident"
+
+// Splitter divides the requests of each route among its shares by smooth
+// weighted round robin (as in nginx): of any run of requests each share gets its
+// part to within one request. It is not safe for concurrent use.
+type Splitter struct {
+	credit map[splitKey]int
+}
+
+type splitKey struct {
+	route   string
+	service ident.Service
+}
+
+// NewSplitter returns a splitter that has seen no request.
+func NewSplitter() *Splitter { return &Splitter{credit: make(map[splitKey]int)} }
+
+// Next returns the service of the route's next request.
+func (s *Splitter) Next(r *Route) ident.Service {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total, best := 0, -1
+	for i, share := range r.Shares {
+		if share.Weight == 0 {
+			continue
+		}
+		k := splitKey{r.Name, share.Service}
+		s.credit[k] += share.Weight
+		total += share.Weight
+		if best < 0 || s.credit[k] > s.credit[splitKey{r.Name, r.Shares[best].Service}] {
+			best = i
+		}
+	}
+	chosen := r.Shares[best].Service
+	s.credit[splitKey{r.Name, chosen}] -= total
+	return chosen
+}
--- /dev/null
+++ b/internal/edge/dispatch.go
@@ -0,0 +1,237 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/retry"
+	"github.com/burdockfold/burdockfold/internal/core/routes"
+	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/hop"
+	"github.com/burdockfold/burdockfold/internal/mesh"
+)
+
+// Target is a daemon beside a backend server that may run a request.
+type Target struct {
+	Peer  mesh.Peer
+	Local bool // this daemon
+}
+
+// Chooser finds targets and learns from what became of requests.
+type Chooser interface {
+	// Choose returns the target for a request, leaving out hosts that were tried.
+	// More says that others would be left. The error is of the closed list.
+	Choose(r *hop.Request, tried []ident.Host) (t Target, more bool, err *errkind.Error)
+	// Sent and Done enclose one attempt.
+	Sent(t Target, r *hop.Request)
+	Done(t Target, r *hop.Request, a *hop.Answer)
+	// Daemons is the number of daemons that share a budget of repeats.
+	Daemons() int
+	// Sharded reports whether keys of a service have one owner.
+	Sharded(s ident.Service) bool
+}
+
+// Sender sends a request to the daemon of a target.
+type Sender interface {
+	Send(ctx context.Context, to mesh.Peer, r *hop.Request) *hop.Answer
+}
+
+// Budget bounds the repeats of one service by all daemons together.
+type Budget struct {
+	Window    time.Duration
+	Ratio     float64 // repeats a request
+	Allowance float64 // repeats besides
+}
+
+// Limits of the attempts of one request.
+const (
+	maxTries = 40 // sends, those included that reached no backend server
+
+	// maxMoving bounds how long a request waits for keys that change their owner: a
+	// move takes one heartbeat of each of the two servers.
+	maxMoving = 900 * time.Millisecond
+
+	// budgetPart is the part of the shared budget that is used: the repeats of
+	// calls that a repeated request makes count as well and are not seen here.
+	budgetPart = 0.5
+)
+
+// Dispatcher runs the attempts of requests.
+type Dispatcher struct {
+	self    ident.Host
+	choose  Chooser
+	local   hop.Handler
+	remote  Sender
+	clock   ident.Clock
+	log     *zap.Logger
+	budget  Budget
+	metrics Metrics
+
+	mu      sync.Mutex // guards the fields below
+	split   *routes.Splitter
+	budgets map[ident.Service]*retry.WindowBudget
+}
+
+// Metrics counts what the dispatcher does.
+type Metrics interface {
+	Request(route string, kind string, took time.Duration)
+	Repeat(service string)
+}
+
+// NewDispatcher returns a dispatcher.
+func NewDispatcher(self ident.Host, c Chooser, local hop.Handler, remote Sender, b Budget, m Metrics, clock ident.Clock, log *zap.Logger) *Dispatcher {
+	return &Dispatcher{
+		self: self, choose: c, local: local, remote: remote, clock: clock, log: log, budget: b, metrics: m,
+		split:   routes.NewSplitter(),
+		budgets: make(map[ident.Service]*retry.WindowBudget),
+	}
+}
+
+// attempts is the progress of one request.
+type attempts struct {
+	tries   int
+	reached int // sends that reached a backend server
+	rounds  int
+	tried   []ident.Host
+	leaves  errkind.Truth // what the attempts so far leave
+	more    bool
+}
+
+// Serve runs a request and returns its answer.
+func (d *Dispatcher) Serve(ctx context.Context, r *hop.Request, route *routes.Route) *hop.Answer {
+	begun := d.clock.Now()
+	r.Service = d.first(route, begun)
+	var p attempts
+	var a *hop.Answer
+	for {
+		a = d.attempt(ctx, r, &p)
+		if a.Failure == nil || !d.again(ctx, r, route, &p, a.Failure, begun) {
+			break
+		}
+	}
+	kind := "answered"
+	if a.Failure != nil {
+		kind = a.Failure.Kind.String()
+	}
+	took := d.clock.Now().Sub(begun)
+	d.metrics.Request(r.Route, kind, took)
+	d.log.Info("request_done", zap.String("request_id", r.ID), zap.String("route", r.Route),
+		zap.String("service", string(r.Service)), zap.Int("key", r.Key), zap.Strings("hosts", hosts(p.tried)),
+		zap.Int("tries", p.tries), zap.Int("reached", p.reached), zap.String("outcome", kind),
+		zap.Int("status", a.Status), zap.Duration("took", took))
+	return a
+}
+
+func hosts(hs []ident.Host) []string {
+	out := make([]string, len(hs))
+	for i, h := range hs {
+		out[i] = string(h)
+	}
+	return out
+}
+
+// first chooses the route's service for the request and counts it.
+func (d *Dispatcher) first(route *routes.Route, now ident.Instant) ident.Service {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.split.Next(route)
+	d.budgetOf(s).Request(now)
+	return s
+}
+
+// budgetOf returns the budget of a service. The caller holds d.mu.
+func (d *Dispatcher) budgetOf(s ident.Service) *retry.WindowBudget {
+	b := d.budgets[s]
+	if b == nil {
+		b = retry.NewWindowBudget(d.budget.Window, d.budget.Ratio*budgetPart)
+		d.budgets[s] = b
+	}
+	return b
+}
+
+func (d *Dispatcher) attempt(ctx context.Context, r *hop.Request, p *attempts) *hop.Answer {
+	p.tries++
+	target, more, e := d.choose.Choose(r, p.tried)
+	p.more = more
+	if e != nil {
+		return hop.Fail(e)
+	}
+	p.tried = append(p.tried, target.Peer.Member.Host)
+	d.choose.Sent(target, r)
+	var a *hop.Answer
+	if target.Local {
+		a = d.local.Serve(ctx, r)
+	} else {
+		a = d.remote.Send(ctx, target.Peer, r)
+	}
+	d.choose.Done(target, r, a)
+	if a.Reached {
+		p.reached++
+	}
+	return a
+}
+
+// again decides after a failure whether the request is sent once more, and waits
+// until then. Otherwise the failure says what all attempts together leave.
+func (d *Dispatcher) again(ctx context.Context, r *hop.Request, route *routes.Route, p *attempts, e *errkind.Error, begun ident.Instant) bool {
+	sharded := d.choose.Sharded(r.Service)
+	now := d.clock.Now()
+	f := retry.Failure{
+		Kind: e.Kind, Truth: e.Answer().Truth, Place: retry.PlaceOf(e.Kind), Prior: p.leaves,
+		Repeatable: route.Idempotent, BodyKept: true, Others: p.more && !sharded, Pooled: !sharded,
+		Attempts: p.reached, Rounds: p.rounds, Left: r.Left(now),
+	}
+	p.leaves = f.Leaves()
+	e.Truth = p.leaves
+	policy := retry.DefaultPolicy()
+	policy.MaxAttempts = max(route.MaxAttempts, 1)
+	policy.MaxMoves = maxTries
+	next, ok := policy.Decide(f).(retry.RunAgain)
+	if !ok || p.tries >= maxTries || ctx.Err() != nil {
+		return false
+	}
+	if !f.Others && now.Sub(begun) > maxMoving || p.reached >= policy.MaxAttempts {
+		return false
+	}
+	if p.reached > 0 && !d.repeat(r.Service, now) {
+		return false
+	}
+	if !p.more {
+		p.rounds++
+		p.tried = p.tried[:0]
+	}
+	d.log.Info("request_again", zap.String("request_id", r.ID), zap.Stringer("kind", e.Kind),
+		zap.Int("reached", p.reached), zap.Duration("after", next.After), zap.String("detail", e.Detail))
+	return sleep(ctx, next.After)
+}
+
+// repeat takes one repeat from the service's budget.
+func (d *Dispatcher) repeat(s ident.Service, now ident.Instant) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	allowance := d.budget.Allowance * budgetPart / float64(max(d.choose.Daemons(), 1))
+	if !d.budgetOf(s).Repeat(now, allowance) {
+		return false
+	}
+	d.metrics.Repeat(string(s))
+	return true
+}
+
+// sleep waits and reports whether the context is still good.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -46,6 +46,8 @@
 	Canceled
 	RateLimited
 	KeyReused
+	Unconfigured
+	NoRoute
 	kindCount
 )
 
--- a/internal/errkind/table.go
+++ b/internal/errkind/table.go
@@ -49,6 +49,8 @@
 	Canceled:            {"canceled", 499, Unknown, 0, "The caller canceled the request"},
 	RateLimited:         {"rate-limited", 429, NotRun, retrySoon, "Too many requests"},
 	KeyReused:           {"key-reused", 422, NotRun, 0, "The Idempotency-Key was used for another request"},
+	Unconfigured:        {"unconfigured", 503, NotRun, retrySoon, "No configuration is known yet"},
+	NoRoute:             {"no-route", 404, NotRun, 0, "No route matches the request"},
 }
 
 // Answer returns the table's entry for k; a kind that is not in the list maps
--- a/internal/callerport/hop.go
+++ b/internal/hop/header.go
@@ -1,4 +1,4 @@
-package callerport
+package hop
 
 import (
 	"strings"
@@ -21,13 +21,14 @@
 	fasthttp.HeaderUpgrade,
 }
 
-// hopByHop reports whether a field must not travel on; named are the fields that
+// HopByHop reports whether a field must not travel on; named are the fields that
 // Connection lists.
-func hopByHop(name string, named []string) bool {
-	return containsFold(connectionFields, name) || containsFold(named, name)
+func HopByHop(name string, named ...string) bool {
+	return ContainsFold(connectionFields, name) || ContainsFold(named, name)
 }
 
-func containsFold(names []string, name string) bool {
+// ContainsFold reports whether a name is among others, whatever its case.
+func ContainsFold(names []string, name string) bool {
 	for _, n := range names {
 		if len(n) == len(name) && strings.EqualFold(n, name) {
 			return true
@@ -36,8 +37,8 @@
 	return false
 }
 
-// connectionTokens returns the field names that Connection fields name.
-func connectionTokens(values [][]byte) []string {
+// ConnectionTokens returns the field names that Connection fields name.
+func ConnectionTokens(values [][]byte) []string {
 	var tokens []string
 	for _, v := range values {
 		for part := range strings.SplitSeq(string(v), ",") {
--- /dev/null
+++ b/internal/hop/hop_test.go
@@ -0,0 +1,58 @@
+package hop
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/errkind"
+)
+
+func TestRequestSurvivesTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &Request{
+			ID: rapid.String().Draw(t, "id"), Method: "POST", Host: "h", URI: "/a?b",
+			Header: []Field{{"A", rapid.String().Draw(t, "value")}},
+			Body:   rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "body"),
+			Key:    rapid.IntRange(NoKey, 65535).Draw(t, "key"), Service: "s", Route: "r", Caller: "c",
+		}
+		now := ident.Instant(1)
+		r.Deadline = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "left")) * time.Millisecond)
+		head, rest, err := encodeRequest(r, now)
+		assert.NilError(t, err)
+		assert.Equal(t, len(rest), 0)
+		got, size, err := decodeRequest(head, now)
+		assert.NilError(t, err)
+		assert.Equal(t, size, 0)
+		assert.DeepEqual(t, got, r)
+	})
+}
+
+func TestAnswerSurvivesTheWire(t *testing.T) {
+	a := &Answer{Status: 200, Header: []Field{{"A", "b"}}, Body: []byte("x"), Reached: true, Load: Load{1, 2, 3}}
+	head, _, err := encodeAnswer(a)
+	assert.NilError(t, err)
+	got, _, err := decodeAnswer(head)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, a)
+
+	head, _, err = encodeAnswer(Fail(errkind.New(errkind.NotOwner, "key %d", 3)))
+	assert.NilError(t, err)
+	got, _, err = decodeAnswer(head)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Failure.Kind, errkind.NotOwner)
+	assert.Equal(t, got.Failure.Answer().Truth, errkind.NotRun)
+}
+
+func TestLongBodyFollowsTheHead(t *testing.T) {
+	r := &Request{Body: make([]byte, inlineBytes+1), Key: NoKey}
+	head, rest, err := encodeRequest(r, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rest), inlineBytes+1)
+	_, size, err := decodeRequest(head, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, size, inlineBytes+1)
+}
--- /dev/null
+++ b/internal/hop/transport.go
@@ -0,0 +1,109 @@
+package hop
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+
+	"go.uber.org/zap"
+
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/forward"
+	"github.com/burdockfold/burdockfold/internal/mesh"
+)
+
+// maxBodyBytes bounds a body that a peer announces.
+const maxBodyBytes = 128 << 20
+
+// Client sends requests to other daemons.
+type Client struct {
+	transport mesh.Transport
+	clock     ident.Clock
+}
+
+// NewClient returns a client over the transport.
+func NewClient(t mesh.Transport, c ident.Clock) *Client { return &Client{transport: t, clock: c} }
+
+// Send sends a request to a daemon and returns its answer. A failure on the way
+// says whether the request may have been run.
+func (c *Client) Send(ctx context.Context, to mesh.Peer, r *Request) *Answer {
+	head, rest, err := encodeRequest(r, c.clock.Now())
+	if err != nil {
+		return Fail(&errkind.Error{Kind: errkind.Internal, Truth: errkind.NotRun, Detail: err.Error(), Err: err})
+	}
+	var body io.Reader
+	if len(rest) > 0 {
+		body = bytes.NewReader(rest)
+	}
+	stream, err := c.transport.Open(ctx, to, head, body)
+	if err != nil {
+		return failed(ctx, err)
+	}
+	defer func() { _ = stream.Body().Close() }()
+	a, size, err := decodeAnswer(stream.Head())
+	if err != nil {
+		return Fail(errkind.New(errkind.PeerProtocol, "%w", err))
+	}
+	if size > 0 {
+		a.Body, err = readBody(stream.Body(), size)
+	}
+	if err != nil {
+		return Fail(errkind.New(errkind.AnswerCut, "%w", err))
+	}
+	return a
+}
+
+// failed is the answer of a request whose stream failed. Unless it certainly did
+// not leave, it may have reached a backend server.
+func failed(ctx context.Context, err error) *Answer {
+	e := errkind.As(forward.OpenError(ctx, err))
+	return &Answer{Failure: e, Reached: e.Answer().Truth != errkind.NotRun}
+}
+
+func readBody(r io.Reader, size int) ([]byte, error) {
+	if size > maxBodyBytes {
+		return nil, fmt.Errorf("hop: body of %d bytes", size)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, fmt.Errorf("hop: body: %w", err)
+	}
+	return body, nil
+}
+
+// Server serves the requests of other daemons. It implements mesh.StreamHandler.
+type Server struct {
+	next  Handler
+	clock ident.Clock
+	log   *zap.Logger
+}
+
+// NewServer returns a server that hands requests on.
+func NewServer(next Handler, c ident.Clock, log *zap.Logger) *Server {
+	return &Server{next: next, clock: c, log: log}
+}
+
+// HandleStream implements mesh.StreamHandler.
+func (s *Server) HandleStream(ctx context.Context, from ident.Member, stream mesh.ServerStream) {
+	a := s.serve(ctx, stream)
+	head, rest, err := encodeAnswer(a)
+	if err == nil {
+		err = stream.Respond(head, bytes.NewReader(rest))
+	}
+	if err != nil && ctx.Err() == nil {
+		s.log.Warn("hop_answer_failed", zap.Stringer("peer", from), zap.Error(err))
+	}
+}
+
+func (s *Server) serve(ctx context.Context, stream mesh.ServerStream) *Answer {
+	r, size, err := decodeRequest(stream.Head(), s.clock.Now())
+	if err == nil && size > 0 {
+		r.Body, err = readBody(stream.Body(), size)
+	}
+	if err != nil {
+		return Fail(&errkind.Error{Kind: errkind.PeerProtocol, Truth: errkind.NotRun, Detail: err.Error(), Err: err})
+	}
+	return s.next.Serve(ctx, r)
+}
--- /dev/null
+++ b/internal/hop/wire.go
@@ -0,0 +1,145 @@
+package hop
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/burdockfold/burdockfold/internal/codec"
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/errkind"
+)
+
+// maxLeft bounds the time that a request from a peer may claim.
+const maxLeft = 10 * time.Minute
+
+// wireRequest is the CBOR array of a request. Bodies up to inlineBytes travel in
+// it, longer ones as the stream's body.
+type wireRequest struct {
+	_struct  struct{} `codec:",toarray"` //nolint:unused // read by the codec
+	ID       string
+	Method   string
+	Host     string
+	URI      string
+	Header   []string // names and values by turns
+	Body     []byte
+	BodySize int // of a body that follows; zero if it is in Body
+	LeftMS   int64
+	Key      int
+	Service  string
+	Route    string
+	Priority int
+	Caller   string
+	Trace    string
+}
+
+// wireAnswer is the CBOR array of an answer.
+type wireAnswer struct {
+	_struct  struct{} `codec:",toarray"` //nolint:unused // read by the codec
+	Status   int
+	Header   []string
+	Body     []byte
+	BodySize int
+	Failure  *wireFailure
+	Reached  bool
+	Load     [3]int
+}
+
+type wireFailure struct {
+	_struct struct{} `codec:",toarray"` //nolint:unused // read by the codec
+	Kind    uint8
+	Truth   string
+	Detail  string
+	RetryMS int64
+}
+
+// inlineBytes is the length up to which a body travels in the head: a few frames
+// less for each request, well below the mesh's bound of a head.
+const inlineBytes = 64 << 10
+
+func encodeRequest(r *Request, now ident.Instant) (head, rest []byte, err error) {
+	w := wireRequest{
+		ID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Header: flatten(r.Header),
+		LeftMS: r.Left(now).Milliseconds(), Key: r.Key, Service: string(r.Service),
+		Route: r.Route, Priority: r.Priority, Caller: r.Caller, Trace: r.Trace,
+	}
+	w.Body, rest = inline(r.Body)
+	w.BodySize = len(rest)
+	head, err = codec.Marshal(&w)
+	return head, rest, err
+}
+
+func inline(body []byte) (in, rest []byte) {
+	if len(body) > inlineBytes {
+		return nil, body
+	}
+	return body, nil
+}
+
+func decodeRequest(head []byte, now ident.Instant) (*Request, int, error) {
+	var w wireRequest
+	if err := codec.Unmarshal(head, &w); err != nil {
+		return nil, 0, fmt.Errorf("hop: request: %w", err)
+	}
+	fields, err := unflatten(w.Header)
+	if err != nil {
+		return nil, 0, err
+	}
+	left := min(max(time.Duration(w.LeftMS)*time.Millisecond, 0), maxLeft)
+	return &Request{
+		ID: w.ID, Method: w.Method, Host: w.Host, URI: w.URI, Header: fields, Body: w.Body,
+		Deadline: now.Add(left), Key: w.Key, Service: ident.Service(w.Service),
+		Route: w.Route, Priority: w.Priority, Caller: w.Caller, Trace: w.Trace,
+	}, w.BodySize, nil
+}
+
+func encodeAnswer(a *Answer) (head, rest []byte, err error) {
+	w := wireAnswer{
+		Status: a.Status, Header: flatten(a.Header), Reached: a.Reached,
+		Load: [3]int{a.Load.Running, a.Load.Waiting, a.Load.Slots},
+	}
+	if e := a.Failure; e != nil {
+		w.Failure = &wireFailure{Kind: uint8(e.Kind), Truth: string(e.Answer().Truth), Detail: e.Detail, RetryMS: e.RetryAfter.Milliseconds()}
+	}
+	w.Body, rest = inline(a.Body)
+	w.BodySize = len(rest)
+	head, err = codec.Marshal(&w)
+	return head, rest, err
+}
+
+func decodeAnswer(head []byte) (*Answer, int, error) {
+	var w wireAnswer
+	if err := codec.Unmarshal(head, &w); err != nil {
+		return nil, 0, fmt.Errorf("hop: answer: %w", err)
+	}
+	fields, err := unflatten(w.Header)
+	if err != nil {
+		return nil, 0, err
+	}
+	a := &Answer{Status: w.Status, Header: fields, Body: w.Body, Reached: w.Reached, Load: Load{w.Load[0], w.Load[1], w.Load[2]}}
+	if f := w.Failure; f != nil {
+		a.Failure = &errkind.Error{
+			Kind: errkind.Kind(f.Kind), Truth: errkind.Truth(f.Truth), Detail: f.Detail,
+			RetryAfter: time.Duration(f.RetryMS) * time.Millisecond,
+		}
+	}
+	return a, w.BodySize, nil
+}
+
+func flatten(fields []Field) []string {
+	out := make([]string, 0, 2*len(fields))
+	for _, f := range fields {
+		out = append(out, f.Name, f.Value)
+	}
+	return out
+}
+
+func unflatten(flat []string) ([]Field, error) {
+	if len(flat)%2 != 0 {
+		return nil, fmt.Errorf("hop: header of %d strings", len(flat))
+	}
+	out := make([]Field, 0, len(flat)/2)
+	for i := 0; i < len(flat); i += 2 {
+		out = append(out, Field{flat[i], flat[i+1]})
+	}
+	return out, nil
+}
--- a/internal/backend/body.go
+++ b/internal/httpconn/body.go
@@ -1,4 +1,4 @@
-package backend
+package httpconn
 
 import (
 	"bufio"
@@ -10,15 +10,15 @@
 	"github.com/valyala/fasthttp"
 )
 
-// errCut means that a body ended before its declared length or end mark.
-var errCut = errors.New("backend: body was cut")
+// ErrCut means that a body ended before its declared length or end mark.
+var ErrCut = errors.New("httpconn: body was cut")
 
-// errNoLength means that an answer has neither a length nor chunks, so that a
+// ErrNoLength means that an answer has neither a length nor chunks, so that a
 // cut could not be noticed.
-var errNoLength = errors.New("backend: answer has no length and no chunks")
+var ErrNoLength = errors.New("httpconn: answer has no length and no chunks")
 
-// writeBody copies a request body with its length or in chunks.
-func writeBody(w *bufio.Writer, body io.Reader, length int64) error {
+// WriteBody copies a request body with its length or in chunks.
+func WriteBody(w *bufio.Writer, body io.Reader, length int64) error {
 	if length >= 0 {
 		return copyExactly(w, body, length)
 	}
@@ -39,21 +39,21 @@
 		return err
 	}
 	if n != length {
-		return fmt.Errorf("%w: %d of %d bytes", errCut, n, length)
+		return fmt.Errorf("%w: %d of %d bytes", ErrCut, n, length)
 	}
 	return nil
 }
 
-// answerReader returns a reader of an answer's body that ends with io.EOF only
+// AnswerReader returns a reader of an answer's body that ends with io.EOF only
 // when the body is whole, and the length, -1 when unknown.
-func answerReader(r *bufio.Reader, h *fasthttp.ResponseHeader) (io.Reader, int64, error) {
+func AnswerReader(r *bufio.Reader, h *fasthttp.ResponseHeader) (io.Reader, int64, error) {
 	switch n := int64(h.ContentLength()); {
 	case n >= 0:
 		return &fixedReader{r: r, left: n}, n, nil
 	case n == -1:
 		return &chunkedReader{r: httputil.NewChunkedReader(r), tail: r}, -1, nil
 	default:
-		return nil, 0, errNoLength
+		return nil, 0, ErrNoLength
 	}
 }
 
@@ -63,7 +63,7 @@
 	left int64
 }
 
-// Read fails with errCut when the connection ends early.
+// Read fails with ErrCut when the connection ends early.
 func (f *fixedReader) Read(p []byte) (int, error) {
 	if f.left == 0 {
 		return 0, io.EOF
@@ -74,7 +74,7 @@
 	n, err := f.r.Read(p)
 	f.left -= int64(n)
 	if err == io.EOF && f.left > 0 {
-		err = fmt.Errorf("%w: %d bytes missing", errCut, f.left)
+		err = fmt.Errorf("%w: %d bytes missing", ErrCut, f.left)
 	}
 	if err == io.EOF {
 		err = nil
@@ -89,7 +89,7 @@
 	done bool
 }
 
-// Read fails with errCut when the connection ends before the last chunk.
+// Read fails with ErrCut when the connection ends before the last chunk.
 func (c *chunkedReader) Read(p []byte) (int, error) {
 	if c.done {
 		return 0, io.EOF
@@ -99,7 +99,7 @@
 	case err == io.EOF:
 		err = c.skipTrailer()
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		err = fmt.Errorf("%w: %w", errCut, err)
+		err = fmt.Errorf("%w: %w", ErrCut, err)
 	}
 	return n, err
 }
@@ -109,7 +109,7 @@
 	for {
 		line, err := c.tail.ReadSlice('\n')
 		if err != nil {
-			return fmt.Errorf("%w: trailer: %w", errCut, err)
+			return fmt.Errorf("%w: trailer: %w", ErrCut, err)
 		}
 		if len(line) <= len("\r\n") {
 			c.done = true
--- a/internal/backend/conn_unix.go
+++ b/internal/httpconn/conn_unix.go
@@ -1,4 +1,4 @@
-package backend
+package httpconn
 
 import (
 	"net"
@@ -7,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// readable peeks at the socket without blocking and reports whether it has data
+// Readable peeks at the socket without blocking and reports whether it has data
 // or an end of file, or cannot be examined.
-func readable(c net.Conn) bool {
+func Readable(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- /dev/null
+++ b/internal/httpconn/strict.go
@@ -0,0 +1,63 @@
+package httpconn
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// The faults of a request header that two HTTP parsers might read differently.
+var (
+	ErrFolded        = errors.New("httpconn: folded header line")
+	ErrSpaceInName   = errors.New("httpconn: space in a field name")
+	ErrNoColon       = errors.New("httpconn: header line without a colon")
+	ErrTwoHosts      = errors.New("httpconn: more than one Host field")
+	ErrFraming       = errors.New("httpconn: ambiguous length of the body")
+	ErrTwoLengths    = errors.New("both Content-Length and Transfer-Encoding")
+	ErrControlInLine = errors.New("httpconn: control character in a header line")
+)
+
+// CheckHeader refuses the raw header lines of a request, without its first line,
+// that RFC 9112 (sections 3.2, 5, 5.2 and 6.3) forbids to forward.
+func CheckHeader(raw []byte) error {
+	hosts, lengths, codings := 0, 0, 0
+	for line := range bytes.Lines(raw) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			continue
+		}
+		if line[0] == ' ' || line[0] == '\t' {
+			return ErrFolded
+		}
+		name, value, ok := bytes.Cut(line, []byte{':'})
+		switch {
+		case !ok:
+			return ErrNoColon
+		case len(name) == 0 || bytes.ContainsAny(name, " \t"):
+			return fmt.Errorf("%w %q", ErrSpaceInName, name)
+		case bytes.ContainsAny(line, "\x00\r\n"):
+			return ErrControlInLine
+		case bytes.EqualFold(name, []byte("host")):
+			hosts++
+		case bytes.EqualFold(name, []byte("content-length")):
+			lengths++
+			if len(bytes.Trim(bytes.TrimSpace(value), "0123456789")) > 0 {
+				return ErrFraming
+			}
+		case bytes.EqualFold(name, []byte("transfer-encoding")):
+			codings++
+			if !bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked")) {
+				return ErrFraming
+			}
+		}
+	}
+	switch {
+	case hosts > 1:
+		return ErrTwoHosts
+	case lengths > 0 && codings > 0:
+		return ErrTwoLengths
+	case lengths > 1 || codings > 1:
+		return ErrFraming
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/httpconn/strict_test.go
@@ -0,0 +1,33 @@
+package httpconn
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestCheckHeaderRefusesWhatParsersReadDifferently(t *testing.T) {
+	for _, c := range []struct {
+		raw  string
+		want error
+	}{
+		{"Host: a\r\nX: b\r\n", nil},
+		{"Host: a\r\nTransfer-Encoding: chunked\r\n", nil},
+		{"Host: a\r\nTransfer-Encoding : chunked\r\n", ErrSpaceInName},
+		{"Host: a\r\nHost: b\r\n", ErrTwoHosts},
+		{"Host: a\r\nX: b\r\n c\r\n", ErrFolded},
+		{"Host: a\r\nnonsense\r\n", ErrNoColon},
+		{"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", ErrTwoLengths},
+		{"Content-Length: 1\r\nContent-Length: 2\r\n", ErrFraming},
+		{"Content-Length: +1\r\n", ErrFraming},
+		{"Transfer-Encoding: gzip, chunked\r\n", ErrFraming},
+		{"X: a\rb\r\n", ErrControlInLine},
+	} {
+		err := CheckHeader([]byte(c.raw))
+		if c.want == nil {
+			assert.NilError(t, err, c.raw)
+			continue
+		}
+		assert.ErrorIs(t, err, c.want, c.raw)
+	}
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -17,9 +17,10 @@
 
 var durationType = reflect.TypeOf(time.Duration(0))
 
-// Decode sets the fields of s that the YAML document names. It returns
-// Problems: a syntax error, or every unknown key and ill-typed value.
-func Decode(data []byte, s *Settings) (err error) {
+// Decode sets the fields that the YAML document names of the struct that s points
+// to. It returns Problems: a syntax error, or every unknown key and ill-typed
+// value.
+func Decode(data []byte, s any) (err error) {
 	defer func() {
 		if r := recover(); r != nil {
 			err = Problems{{Path: "file", Text: fmt.Sprintf("cannot be parsed: %v", r)}}
--- /dev/null
+++ b/internal/sidecar/exit.go
@@ -0,0 +1,112 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/burdockfold/burdockfold/internal/admitting"
+	"github.com/burdockfold/burdockfold/internal/core/admission"
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/keyrange"
+	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/hop"
+	"github.com/burdockfold/burdockfold/internal/origin"
+)
+
+// moveTime is when a caller may ask again for keys that change their owner: one
+// heartbeat of the next owner's server.
+const moveTime = 500 * time.Millisecond
+
+// exit runs requests on the backend server beside the daemon. It implements
+// hop.Handler for requests of this daemon's callers and of other daemons.
+type exit struct {
+	server *server
+	owners *owners
+	gate   *admitting.Gate
+	client *origin.Client
+	clock  ident.Clock
+}
+
+// Serve implements hop.Handler.
+func (x *exit) Serve(ctx context.Context, r *hop.Request) *hop.Answer {
+	a := x.serve(ctx, r)
+	l := x.gate.Load()
+	a.Load = hop.Load{Running: l.Running, Waiting: l.Waiting, Slots: x.server.entry().Slots}
+	return a
+}
+
+func (x *exit) serve(ctx context.Context, r *hop.Request) *hop.Answer {
+	if e := x.allowed(r); e != nil {
+		return hop.Fail(e)
+	}
+	release, err := x.gate.Admit(ctx, admission.Arrival{Class: admission.Class(r.Route), Deadline: r.Deadline})
+	if err != nil {
+		return hop.Fail(notAdmitted(ctx, err))
+	}
+	if e := x.allowed(r); e != nil { // it may have waited
+		release(0)
+		return hop.Fail(e)
+	}
+	return x.run(ctx, r, release)
+}
+
+// run hands an admitted request to the server.
+func (x *exit) run(ctx context.Context, r *hop.Request, release func(time.Duration)) *hop.Answer {
+	begun := x.clock.Now()
+	target, _, ok := x.server.target(r.Service)
+	if !ok {
+		release(0)
+		return hop.Fail(errkind.New(errkind.BackendUnavailable, "the backend server has gone"))
+	}
+	a := x.client.Do(ctx, target, r)
+	served := x.clock.Now().Sub(begun)
+	if a.Failure != nil {
+		release(0)
+	} else {
+		release(served)
+	}
+	if a.Reached && r.Key != hop.NoKey {
+		x.owners.served(r.Service, keyrange.Key(r.Key), served)
+	}
+	if a.Failure != nil && a.Failure.Kind == errkind.BackendUnavailable {
+		x.server.refused()
+	}
+	return a
+}
+
+// allowed reports why the server may not get the request now, or nil.
+func (x *exit) allowed(r *hop.Request) *errkind.Error {
+	_, leaving, ok := x.server.target(r.Service)
+	sharded := x.owners.sharded(r.Service)
+	switch {
+	case !ok:
+		return errkind.New(errkind.BackendUnavailable, "no backend server of %q is here", r.Service)
+	case leaving && !sharded:
+		return errkind.New(errkind.Draining, "the backend server leaves")
+	case !sharded:
+		return nil
+	case r.Key == hop.NoKey:
+		return errkind.New(errkind.KeyMissing, "service %q is divided by key", r.Service)
+	case x.owners.serves(r.Service, keyrange.Key(r.Key)):
+		return nil
+	}
+	e := errkind.New(errkind.NotOwner, "key %d is not held here", r.Key)
+	e.RetryAfter = moveTime
+	return e
+}
+
+// notAdmitted names why a request did not get a slot.
+func notAdmitted(ctx context.Context, err error) *errkind.Error {
+	var e *errkind.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	kind := errkind.Canceled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		kind = errkind.DeadlineBeforeStart
+	}
+	e = errkind.New(kind, "while it waited for a slot: %w", err)
+	e.Truth = errkind.NotRun
+	return e
+}
