Nothing new after the unready time of a shutdown; watchers hint new configurations

It now takes new work only for 2.3 s after SIGTERM, on both ports. Two daemons of each region now wait 1.8 s and tell the others when they put a version in force; a told daemon reads again at once. Ruled out: keep-alive probes alone (the store's host answers them while the store is silent).

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -46,7 +46,8 @@
 	log      *zap.Logger
 	http     *fasthttp.Server
 	watch    *connwatch.Watcher
-	retiring atomic.Bool
+	retiring atomic.Bool  // every answer is the last on its connection
+	closed   atomic.Bool  // nothing new is taken
 	open     atomic.Int64 // requests in progress
 }
 
@@ -84,6 +85,9 @@
 // Retire makes every answer from now on the last on its connection.
 func (s *Server) Retire() { s.retiring.Store(true) }
 
+// Refuse makes the server take no new request from now on.
+func (s *Server) Refuse() { s.closed.Store(true) }
+
 // Open returns the number of requests in progress.
 func (s *Server) Open() int64 { return s.open.Load() }
 
@@ -124,6 +128,9 @@
 		ctx.SetConnectionClose()
 		return r, nil, errkind.New(errkind.Malformed, "%w", err)
 	}
+	if s.closed.Load() {
+		return r, nil, errkind.New(errkind.Draining, "the daemon stops")
+	}
 	table := s.routes.Routes()
 	if table == nil {
 		return r, nil, errkind.New(errkind.Unconfigured, "no configuration was read yet")
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -35,6 +35,10 @@
 type Store struct {
 	Addr     string        `yaml:"addr"`
 	PollTime time.Duration `yaml:"poll_time"` // a read waits this long for a new record
+
+	// WatchPoll is the wait of the few daemons that watch the configuration for all:
+	// a read that an outage of the store has swallowed is noticed after it.
+	WatchPoll time.Duration `yaml:"watch_poll"`
 }
 
 // Ownership sets the times of the ownership of shard keys.
@@ -65,7 +69,10 @@
 // DefaultSidecar returns the settings that hold where the file says nothing.
 func DefaultSidecar() Sidecar {
 	return Sidecar{
-		Store: Store{PollTime: 20 * time.Second},
+		Store: Store{
+			PollTime:  20 * time.Second,
+			WatchPoll: 1800 * time.Millisecond, // with the timeout of a call, within the time to regain touch
+		},
 		Ownership: Ownership{
 			Lease:         12 * time.Second, // longer than the outages of the store that must be borne
 			LeasePoll:     3 * time.Second,
@@ -116,7 +123,7 @@
 		path string
 		d    time.Duration
 	}{
-		{"store.poll_time", s.Store.PollTime}, {"ownership.lease", o.Lease}, {"ownership.lease_poll", o.LeasePoll},
+		{"store.poll_time", s.Store.PollTime}, {"store.watch_poll", s.Store.WatchPoll}, {"ownership.lease", o.Lease}, {"ownership.lease_poll", o.LeasePoll},
 		{"ownership.hold", o.Hold}, {"ownership.suspect_after", o.SuspectAfter}, {"ownership.settle", o.Settle},
 		{"ownership.stagger", o.Stagger}, {"ownership.balance_every", o.BalanceEvery},
 		{"retries.window", s.Retries.Window}, {"drain.server_time", s.Drain.ServerTime}, {"drain.grace_time", s.Drain.GraceTime},
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -17,21 +17,27 @@
 
 // maxConfigBackoff keeps the first read after an outage of the store well within
 // the time in which a configuration must be in force.
-const maxConfigBackoff = time.Second
+const maxConfigBackoff = 700 * time.Millisecond
+
+// sourceStore is the source of configurations that were read from the store.
+const sourceStore = "store"
 
 // configs follows the operators' configuration. A version never gives way to an
 // older one.
 type configs struct {
 	store    logservice.KeyedLog
 	decode   func([]byte) (routes.Config, error)
-	pollTime time.Duration
-	changed  func(*routes.Table)
+	pollTime func() time.Duration
+	changed  func(t *routes.Table, source string)
 	log      *zap.Logger
 
 	table atomic.Pointer[routes.Table]
 
 	mu  sync.Mutex // guards raw and the order of changes
 	raw []byte     // the configuration in force as it was read
+
+	pollMu sync.Mutex         // guards cancel
+	cancel context.CancelFunc // ends the read that waits for a change
 }
 
 // Routes returns the routes in force, nil before the first configuration.
@@ -79,7 +85,15 @@
 }
 
 func (c *configs) poll(ctx context.Context, from ident.Offset) (ident.Offset, error) {
-	ch, err := c.store.Poll(ctx, logservice.ConfigStream, from, c.pollTime)
+	pollCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.pollMu.Lock()
+	c.cancel = cancel
+	c.pollMu.Unlock()
+	ch, err := c.store.Poll(pollCtx, logservice.ConfigStream, from, c.pollTime())
+	if pollCtx.Err() != nil && ctx.Err() == nil {
+		return from, nil // another daemon knows a newer version: read again at once
+	}
 	if err != nil {
 		return from, err
 	}
@@ -87,11 +101,24 @@
 	return ch.Next, nil
 }
 
+// hint takes in that a version is known elsewhere. A read that has waited since
+// before an outage of the store may never be answered, so it is made again.
+func (c *configs) hint(v routes.Version) {
+	if v <= c.Version() {
+		return
+	}
+	c.pollMu.Lock()
+	defer c.pollMu.Unlock()
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
 // take applies the configurations among records.
 func (c *configs) take(entries []logservice.KeyedEntry) {
 	for _, e := range entries {
 		if e.Key == logservice.ConfigKey {
-			c.apply(e.Value, "store")
+			c.apply(e.Value, sourceStore)
 		}
 	}
 }
@@ -111,7 +138,7 @@
 	t := routes.NewTable(cfg)
 	c.raw = raw
 	c.table.Store(t)
-	c.changed(t)
+	c.changed(t, source)
 	c.log.Info("config_in_force", zap.Uint64("version", uint64(cfg.Version)), zap.String("source", source),
 		zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
 }
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -46,7 +46,7 @@
 // Times of a graceful shutdown.
 const (
 	unreadyTime   = 2300 * time.Millisecond // two questions for readiness, a second apart, and the way
-	shutdownSpare = 700 * time.Millisecond  // kept of the grace time for the end itself
+	shutdownSpare = 500 * time.Millisecond  // kept of the grace time for the end itself
 	shutdownPoll  = 20 * time.Millisecond
 )
 
@@ -70,6 +70,7 @@
 	peers   *peers
 	gate    *admitting.Gate
 	edge    *edge.Server
+	exit    *exit
 	mesh    *mesh.Mesh
 	metrics *telemetry.Providers
 	origin  *origin.Client
@@ -91,10 +92,13 @@
 	d.buildOwners()
 	d.server = &server{clock: d.clock, owners: d.owners, gate: d.gate, log: log, change: func() { d.peers.changed() }}
 	d.configs = &configs{
-		store: adapter.Log, decode: adapter.DecodeConfig, pollTime: cfg.Store.PollTime, log: log,
-		changed: func(t *routes.Table) {
+		store: adapter.Log, decode: adapter.DecodeConfig, log: log,
+		pollTime: func() time.Duration { return d.peers.configWait() },
+		changed: func(t *routes.Table, source string) {
 			d.owners.configure(sharded(t))
-			d.peers.changed()
+			if source == sourceStore {
+				d.peers.hintConfig(t.Version)
+			}
 		},
 	}
 	if err := d.buildMesh(); err != nil {
@@ -144,6 +148,7 @@
 		place: ident.Location{Region: d.cfg.Host.Region, FailureDomain: d.cfg.Host.FailureDomain},
 		clock: d.clock, store: d.adapter.Log, mesh: d.mesh, server: d.server, gate: d.gate,
 		owners: d.owners, configs: d.configs, log: d.log,
+		pollTime: d.cfg.Store.PollTime, watchPoll: d.cfg.Store.WatchPoll,
 		wake:    make(chan struct{}, 1),
 		roster:  roster.New(d.member.Host),
 		found:   make(map[ident.Host]ident.Instant),
@@ -165,17 +170,17 @@
 		return err
 	}
 	d.origin = origin.NewClient(d.adapter.Names, serverConnections, d.clock)
-	exit := &exit{server: d.server, owners: d.owners, gate: d.gate, client: d.origin, clock: d.clock}
+	d.exit = &exit{server: d.server, owners: d.owners, gate: d.gate, client: d.origin, clock: d.clock}
 	choose := &chooser{
 		peers: d.peers, owners: d.owners, clock: d.clock,
 		estimate: balance.NewEstimator(balance.DefaultCosts()),
 		rng:      rand.New(rand.NewPCG(uint64(d.member.Incarnation), uint64(os.Getpid()))),
 	}
 	budget := edge.Budget{Window: d.cfg.Retries.Window, Ratio: d.cfg.Retries.Ratio, Allowance: d.cfg.Retries.Allowance}
-	dispatch := edge.NewDispatcher(d.member.Host, choose, exit, hop.NewClient(d.mesh, d.clock), budget, m, d.clock, d.log)
+	dispatch := edge.NewDispatcher(d.member.Host, choose, d.exit, hop.NewClient(d.mesh, d.clock), budget, m, d.clock, d.log)
 	caller := func() string { return string(*d.service.Load()) }
 	d.edge = edge.NewServer(d.adapter.Names, d.configs, dispatch, caller, d.clock, d.log)
-	d.mesh.SetHandlers(d.peers, hop.NewServer(exit, d.clock, d.log))
+	d.mesh.SetHandlers(d.peers, hop.NewServer(d.exit, d.clock, d.log))
 	return nil
 }
 
@@ -270,20 +275,24 @@
 	}
 }
 
-// drain lets callers go elsewhere and waits for what is in progress. Work of
-// other daemons for keys that only the server here holds is served until then.
+// drain lets callers go elsewhere, then takes nothing new and waits for what is in
+// progress. Until then other daemons' requests for keys that only the server here
+// holds are served.
 func (d *Daemon) drain(ctx context.Context) {
 	d.stopping.Store(true)
 	d.log.Info("daemon_drains", zap.Int64("requests", d.edge.Open()))
 	d.peers.leave()
 	d.edge.Retire()
 	sleep(ctx, unreadyTime)
+	d.edge.Refuse()
+	d.exit.closed.Store(true)
 	left := d.cfg.Drain.GraceTime - unreadyTime - shutdownSpare
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	for ctx.Err() == nil && (d.edge.Open() > 0 || d.gate.Load().Running > 0) {
 		sleep(ctx, shutdownPoll)
 	}
+	d.log.Info("daemon_drained", zap.Int64("requests", d.edge.Open()), zap.Int("running", d.gate.Load().Running))
 }
 
 // stop ends the duties and closes the ports.
--- a/internal/sidecar/exit.go
+++ b/internal/sidecar/exit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/burdockfold/burdockfold/internal/admitting"
@@ -26,6 +27,7 @@
 	gate   *admitting.Gate
 	client *origin.Client
 	clock  ident.Clock
+	closed atomic.Bool // nothing new is taken
 }
 
 // Serve implements hop.Handler.
@@ -80,6 +82,8 @@
 	_, leaving, ok := x.server.target(r.Service)
 	sharded := x.owners.sharded(r.Service)
 	switch {
+	case x.closed.Load():
+		return moving(errkind.New(errkind.Draining, "the daemon stops"))
 	case !ok:
 		return errkind.New(errkind.BackendUnavailable, "no backend server of %q is here", r.Service)
 	case leaving && !sharded:
@@ -91,9 +95,7 @@
 	case x.owners.serves(r.Service, keyrange.Key(r.Key)):
 		return nil
 	}
-	e := errkind.New(errkind.NotOwner, "key %d is not held here", r.Key)
-	e.RetryAfter = moveTime
-	return e
+	return moving(errkind.New(errkind.NotOwner, "key %d is not held here", r.Key))
 }
 
 // notAdmitted names why a request did not get a slot.
--- a/internal/sidecar/owners.go
+++ b/internal/sidecar/owners.go
@@ -50,9 +50,9 @@
 	for _, s := range sharded {
 		if o.agents[s] == nil {
 			o.agents[s] = keyrange.NewAgent(o.cfg, o.self, o.clock.Now())
+			o.synced = false // the new agent needs the tables
 		}
 	}
-	o.synced = false // the new agents need the tables
 }
 
 func (o *owners) sharded(s ident.Service) bool {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -13,6 +13,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
+	"github.com/burdockfold/burdockfold/internal/core/routes"
 	"github.com/burdockfold/burdockfold/internal/logservice"
 	"github.com/burdockfold/burdockfold/internal/mesh"
 )
@@ -22,6 +23,7 @@
 	typeHello  = "h"
 	typePulse  = "p"
 	typeConfig = "c"
+	typeHint   = "v"
 )
 
 // Times of what daemons tell one another.
@@ -50,6 +52,11 @@
 	Config []byte `codec:"c"`
 }
 
+// hint names the version of the configuration that the sender has in force.
+type hint struct {
+	Version uint64 `codec:"v"`
+}
+
 // peers keeps the roster and speaks to the other daemons.
 type peers struct {
 	self    ident.Member
@@ -65,6 +72,9 @@
 	log     *zap.Logger
 	wake    chan struct{} // asks for a hello to all; holds one
 
+	pollTime  time.Duration // wait of a read for changes
+	watchPoll time.Duration // the same at a daemon that watches for others
+
 	mu      sync.Mutex // guards the fields below
 	roster  *roster.Roster
 	seq     uint64
@@ -269,6 +279,11 @@
 		if err = codec.Unmarshal(m.Data, &d); err == nil {
 			p.configs.apply(d.Config, string(from.Host))
 		}
+	case typeHint:
+		var h hint
+		if err = codec.Unmarshal(m.Data, &h); err == nil {
+			p.configs.hint(routes.Version(h.Version))
+		}
 	}
 	if err != nil {
 		p.log.Warn("message_unreadable", zap.String("type", m.Type), zap.Stringer("peer", from), zap.Error(err))
@@ -364,3 +379,46 @@
 	}
 	p.roster.Lost(m, p.clock.Now())
 }
+
+// watchers is how many daemons of each region watch the configuration for all.
+const watchers = 2
+
+// watches reports whether this daemon is one of its region's watchers: those
+// with the lowest names among the living.
+func (p *peers) watches() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := 0
+	p.roster.Each(func(q *roster.Peer) {
+		if q.Place.Region == p.place.Region && q.Member.Host < p.self.Host && q.LostAt == 0 && q.Heard > 0 && !q.Leaving {
+			before++
+		}
+	})
+	return before < watchers
+}
+
+// configWait is how long a read waits for a change of the configuration.
+func (p *peers) configWait() time.Duration {
+	if p.watches() {
+		return p.watchPoll
+	}
+	return p.pollTime
+}
+
+// hintConfig tells the others of a version, if this daemon watches for them.
+func (p *peers) hintConfig(v routes.Version) {
+	if !p.watches() {
+		return
+	}
+	p.mu.Lock()
+	var all []roster.Entry
+	p.roster.Each(func(q *roster.Peer) {
+		if q.Member.Host != p.self.Host {
+			all = append(all, q.Entry)
+		}
+	})
+	p.mu.Unlock()
+	for _, q := range all {
+		p.send(q, typeHint, hint{Version: uint64(v)})
+	}
+}
