A write of unclear outcome stays unclear until a read passes its offset

Cause: after a lost answer to a write that gave keys away, a refused repeat of the same write made the agent forget that the first one may have been appended; with its receiver out of reach it granted the keys again beside their new owner. Ruled out: a late write that the store appends (its condition covers that).

--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -88,8 +88,9 @@
 	next      ident.Offset  // end of the stream when the table was read
 	known     bool          // the table was read
 	confirmed ident.Instant // the table was the newest at this instant
-	pending   *Write        // its outcome is not known yet
-	inFlight  bool          // pending was sent and not answered
+	inFlight  bool          // a write was sent and not answered
+	unclear   bool          // a write at unclearAt may be appended, or may have been
+	unclearAt ident.Offset
 
 	life      roster.Life // the server's current life; zero before its first heartbeat
 	ready     bool
@@ -141,8 +142,8 @@
 		return
 	}
 	a.table, a.next, a.known = t, next, true
-	if a.pending != nil && next > a.pending.At {
-		a.pending = nil // it was appended, or never will be
+	if next > a.unclearAt {
+		a.unclear = false // it was appended, or never will be
 	}
 	if !t.Suspected(a.member) && sent > a.confirmed {
 		a.confirmed = sent
@@ -181,15 +182,16 @@
 	Unclear         // may be written, perhaps later
 )
 
-// Wrote takes in the outcome of a write. A write whose outcome is unclear stays
-// pending until a read shows what stands at its offset.
+// Wrote takes in the outcome of a write. An unclear one stays so until a read
+// shows what stands at its offset; that a later write at the same offset was
+// refused says nothing about it.
 func (a *Agent) Wrote(w Write, o Outcome, sent, answered ident.Instant) {
 	a.inFlight = false
 	switch o {
 	case Written:
 		a.Read(w.Table, w.At+1, sent, answered)
-	case Refused:
-		a.pending = nil
+	case Unclear:
+		a.unclear, a.unclearAt = true, w.At
 	}
 }
 
--- a/internal/core/keyrange/balance.go
+++ b/internal/core/keyrange/balance.go
@@ -15,7 +15,7 @@
 // balance marks a part of the own keys for another server: for one that has few
 // keys, as after it joined, or for one that is far less busy.
 func (a *Agent) balance(now ident.Instant, cs []Candidate) {
-	if len(a.gifts) > 0 || a.pending != nil || now < a.balanceAt || !a.keepsServing(now) || !a.ready {
+	if len(a.gifts) > 0 || a.unclear || now < a.balanceAt || !a.keepsServing(now) || !a.ready {
 		return
 	}
 	a.load.decay(a.cfg.BalanceEvery)
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -20,7 +20,7 @@
 	w := a.plan(now, cs)
 	if w != nil {
 		w.At = a.next
-		a.pending, a.inFlight = w, true
+		a.inFlight = true
 	}
 	return w
 }
@@ -158,10 +158,10 @@
 }
 
 // renewGifts drops the gifts that were written, and finds new receivers for those
-// whose receiver is not there any more. While a write is pending nothing changes,
-// since it may still be appended.
+// whose receiver is not there any more. While the outcome of a write is unclear
+// nothing changes, since it may still be appended.
 func (a *Agent) renewGifts(now ident.Instant, cs []Candidate) {
-	if a.pending != nil {
+	if a.unclear {
 		return
 	}
 	kept := a.gifts[:0]
--- /dev/null
+++ b/internal/core/keyrange/world_test.go
@@ -0,0 +1,379 @@
+package keyrange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/roster"
+)
+
+// The world of these tests: a few hosts with a daemon and a server each, and a
+// store. Time moves in steps; each step draws which messages arrive, which are
+// lost, and which host is cut off, frozen, killed or drained. After every step no
+// key may be held by two servers, and no server may have taken a key with a fence
+// that another had before.
+
+const step = 100 * time.Millisecond
+
+func testConfig() Config {
+	return Config{
+		Lease: 4 * time.Second, Hold: 1500 * time.Millisecond, DriftPerMille: 20,
+		SuspectAfter: time.Second, Settle: 500 * time.Millisecond, Stagger: 200 * time.Millisecond, BalanceEvery: time.Second,
+	}
+}
+
+// store is the keyed stream with one key.
+type store struct {
+	records []Table // the record at each offset
+	late    []lateWrite
+}
+
+type lateWrite struct {
+	w   Write
+	due ident.Instant
+}
+
+func (s *store) next() ident.Offset { return ident.Offset(len(s.records)) }
+
+func (s *store) newest() Table {
+	if len(s.records) == 0 {
+		return Table{}
+	}
+	return s.records[len(s.records)-1]
+}
+
+func (s *store) put(w Write) bool {
+	if w.At != s.next() {
+		return false
+	}
+	s.records = append(s.records, w.Table)
+	return true
+}
+
+// holding is a grant at a server.
+type holding struct {
+	Span
+	fence uint64
+	until ident.Instant
+}
+
+// host is one daemon and its server.
+type host struct {
+	name     ident.Host
+	process  ident.Incarnation
+	agent    *Agent
+	down     ident.Instant // the daemon does not run until then
+	cut      ident.Instant // neither store nor peers are reached until then
+	noStore  ident.Instant
+	frozen   ident.Instant
+	readAt   ident.Instant // next read of the store
+	life     roster.Life
+	sequence int64
+	beatAt   ident.Instant
+	draining bool
+	dark     ident.Instant // heartbeats do not arrive until then
+	holds    []holding
+	freed    []Freed
+	reads    []pendingRead
+}
+
+type pendingRead struct {
+	table Table
+	next  ident.Offset
+	sent  ident.Instant
+	due   ident.Instant
+}
+
+type world struct {
+	t     *rapid.T
+	cfg   Config
+	now   ident.Instant
+	store store
+	down  ident.Instant // the store does not answer until then
+	calm  bool          // nothing is lost or late any more
+	hosts []*host
+	fence map[Key]uint64 // greatest fence with which a server had the key
+	owner map[Key]ident.Host
+}
+
+// probes are the keys that are looked at.
+var probes = []Key{0, 1, 9000, 16384, 20000, 30000, 32768, 45000, 50000, 65535}
+
+func newWorld(t *rapid.T, n int, cfg Config) *world {
+	w := &world{t: t, cfg: cfg, now: ident.Instant(time.Hour), fence: map[Key]uint64{}, owner: map[Key]ident.Host{}}
+	for i := range n {
+		h := &host{name: ident.Host(fmt.Sprint("h", i)), life: roster.Life{ID: fmt.Sprint("s", i), Born: 1}}
+		w.hosts = append(w.hosts, h)
+		w.start(h)
+	}
+	return w
+}
+
+func (w *world) start(h *host) {
+	h.process++
+	h.agent = NewAgent(w.cfg, ident.Member{Host: h.name, Incarnation: h.process}, w.now)
+	h.reads = nil
+	h.readAt = w.now
+}
+
+func (h *host) runs(now ident.Instant) bool { return now >= h.down && now >= h.frozen }
+
+// candidates is what a daemon believes of the others.
+func (w *world) candidates(from *host) []Candidate {
+	var cs []Candidate
+	for _, h := range w.hosts {
+		life, _ := h.agent.Life()
+		cs = append(cs, Candidate{
+			Owner: Owner{ident.Member{Host: h.name, Incarnation: h.process}, life},
+			Ready: life.ID != "" && !h.draining && w.now >= h.dark,
+			Alive: h == from || h.runs(w.now) && w.now >= h.cut && w.now >= from.cut,
+			Slots: 10,
+		})
+	}
+	return cs
+}
+
+func (w *world) step() {
+	w.now = w.now.Add(step)
+	kept := w.store.late[:0]
+	for _, l := range w.store.late {
+		if w.now < l.due {
+			kept = append(kept, l)
+			continue
+		}
+		w.store.put(l.w)
+	}
+	w.store.late = kept
+	for _, h := range w.hosts {
+		w.expire(h)
+		if h.runs(w.now) {
+			w.readStore(h)
+			w.beat(h)
+			w.plan(h)
+		}
+	}
+	w.check()
+}
+
+func (w *world) reachesStore(h *host) bool {
+	return w.now >= w.down && w.now >= h.cut && w.now >= h.noStore
+}
+
+// readStore sends a read now and then; its answer arrives some steps later.
+func (w *world) readStore(h *host) {
+	for len(h.reads) > 0 && h.reads[0].due <= w.now {
+		r := h.reads[0]
+		h.reads = h.reads[1:]
+		h.agent.Read(r.table, r.next, r.sent, w.now)
+	}
+	if w.now < h.readAt || !w.reachesStore(h) {
+		return
+	}
+	h.readAt = w.now.Add(500 * time.Millisecond)
+	delay := time.Duration(0)
+	if !w.calm {
+		delay = time.Duration(rapid.IntRange(0, 6).Draw(w.t, "read delay")) * step
+	}
+	h.reads = append(h.reads, pendingRead{w.store.newest(), w.store.next(), w.now, w.now.Add(delay)})
+}
+
+// expire drops what a server may hold no longer, by a clock that runs slow.
+func (w *world) expire(h *host) {
+	kept := h.holds[:0]
+	for _, x := range h.holds {
+		if w.now <= x.until {
+			kept = append(kept, x)
+		}
+	}
+	h.holds = kept
+}
+
+func (w *world) beat(h *host) {
+	if w.now < h.beatAt || w.now < h.dark {
+		return
+	}
+	h.beatAt = w.now.Add(400 * time.Millisecond)
+	h.sequence++
+	b := Beat{Life: h.life, Sequence: h.sequence, Draining: h.draining, Freed: h.freed}
+	for _, x := range h.holds {
+		b.Held = append(b.Held, Held{x.Span, x.fence})
+	}
+	sent := w.now
+	g := h.agent.Beat(b, w.now)
+	if !w.calm && rapid.IntRange(0, 19).Draw(w.t, "answer lost") == 0 {
+		return
+	}
+	h.freed = nil
+	if g != nil {
+		w.take(h, g, sent)
+	}
+}
+
+// take is what a server does with a grant.
+func (w *world) take(h *host, g *Grant, sent ident.Instant) {
+	before := h.holds
+	h.holds = nil
+	until := sent.Add(g.Hold + g.Hold/50)
+	for _, r := range g.Rows {
+		h.holds = append(h.holds, holding{r.Span, r.Fence, until})
+		for _, k := range probes {
+			if r.Has(k) {
+				w.taken(h, k, r.Fence)
+			}
+		}
+	}
+	for _, b := range before {
+		parts := []Span{b.Span}
+		for _, r := range g.Rows {
+			var rest []Span
+			for _, p := range parts {
+				rest = append(rest, p.without(r.Span)...)
+			}
+			parts = rest
+		}
+		for _, p := range parts {
+			h.freed = append(h.freed, Freed{p, "token"})
+			h.beatAt = w.now
+		}
+	}
+}
+
+// taken notes that a server took a key. Another one's fence must be smaller.
+func (w *world) taken(h *host, k Key, fence uint64) {
+	if w.owner[k] != h.name && w.owner[k] != "" && fence <= w.fence[k] {
+		w.t.Fatalf("%s took key %d with fence %d, %s had it with %d", h.name, k, fence, w.owner[k], w.fence[k])
+	}
+	w.owner[k], w.fence[k] = h.name, max(fence, w.fence[k])
+}
+
+func (w *world) plan(h *host) {
+	write := h.agent.Tick(w.now, w.candidates(h))
+	if write == nil {
+		return
+	}
+	assert.Assert(w.t, write.Table.Valid(), "rows overlap")
+	if !w.reachesStore(h) {
+		h.agent.Wrote(*write, Refused, w.now, w.now)
+		return
+	}
+	fate := 9
+	if !w.calm {
+		fate = rapid.IntRange(0, 9).Draw(w.t, "write")
+	}
+	switch fate {
+	case 0: // done, not answered
+		w.store.put(*write)
+		h.agent.Wrote(*write, Unclear, w.now, w.now)
+	case 1: // done seconds later, if its condition still holds
+		due := w.now.Add(time.Duration(rapid.IntRange(5, 60).Draw(w.t, "late")) * step)
+		w.store.late = append(w.store.late, lateWrite{*write, due})
+		h.agent.Wrote(*write, Unclear, w.now, w.now)
+	default:
+		outcome := Refused
+		if w.store.put(*write) {
+			outcome = Written
+		}
+		h.agent.Wrote(*write, outcome, w.now, w.now)
+	}
+}
+
+func (w *world) check() {
+	for _, k := range probes {
+		holder := ""
+		for _, h := range w.hosts {
+			for _, x := range h.holds {
+				if !x.Has(k) {
+					continue
+				}
+				if holder != "" && holder != string(h.name) {
+					w.t.Fatalf("key %d is held by %s and %s", k, holder, h.name)
+				}
+				holder = string(h.name)
+			}
+		}
+	}
+}
+
+// trouble draws one fault.
+func (w *world) trouble() {
+	h := rapid.SampledFrom(w.hosts).Draw(w.t, "host")
+	until := w.now.Add(time.Duration(rapid.IntRange(2, 120).Draw(w.t, "steps")) * step)
+	switch rapid.IntRange(0, 8).Draw(w.t, "fault") {
+	case 0:
+		w.down = until
+	case 1:
+		h.cut = until
+	case 2:
+		h.noStore = until
+	case 3:
+		h.frozen = until
+	case 4: // the daemon is killed, its server goes on
+		h.down = min(until, w.now.Add(2*time.Second))
+		w.start(h)
+	case 5: // the server starts again under its name
+		h.life.Born++
+		h.holds, h.freed, h.sequence, h.draining = nil, nil, 0, false
+	case 6:
+		h.draining = true
+	case 7:
+		h.dark = until
+		h.agent.ServerLost()
+	case 8: // power: daemon and server start again
+		h.life.Born++
+		h.holds, h.freed, h.sequence, h.draining = nil, nil, 0, false
+		h.down = until
+		w.start(h)
+	}
+}
+
+func runWorld(t *rapid.T, cfg Config) *world {
+	w := newWorld(t, rapid.IntRange(2, 4).Draw(t, "hosts"), cfg)
+	for range rapid.IntRange(1, 8).Draw(t, "faults") {
+		for range rapid.IntRange(1, 60).Draw(t, "calm") {
+			w.step()
+		}
+		w.trouble()
+	}
+	return w
+}
+
+func TestNoTwoServersHoldAKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runWorld(t, testConfig()) })
+}
+
+// After the last fault has passed, every key is held again.
+func TestEveryKeyIsHeldAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := runWorld(t, testConfig())
+		drained := 0
+		for _, h := range w.hosts {
+			if h.draining {
+				drained++
+			}
+		}
+		if drained == len(w.hosts) {
+			return
+		}
+		w.calm = true
+		for range 400 {
+			w.step()
+		}
+		for _, k := range probes {
+			held := false
+			for _, h := range w.hosts {
+				for _, x := range h.holds {
+					held = held || x.Has(k)
+				}
+			}
+			if !held {
+				row, ok := w.store.newest().Find(k)
+				t.Fatalf("nobody holds key %d; row %+v %v, suspects %+v", k, row, ok, w.store.newest().Suspects)
+			}
+		}
+	})
+}
