--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -67,8 +67,8 @@
 // gift is a range that the agent wants another server to have.
 type gift struct {
 	Span
-	to    Owner
-	since ident.Instant
+	to      Owner
+	omitted bool // a grant has left it out
 }
 
 // grantNote remembers a range in the last grants.
@@ -243,6 +243,9 @@
 			g.Rows = append(g.Rows, a.kept(r)...)
 		}
 	}
+	for i := range a.gifts {
+		a.gifts[i].omitted = true
+	}
 	for _, r := range g.Rows {
 		a.granted = note(a.granted, r.Span, sequence)
 	}
@@ -318,7 +321,7 @@
 		return false
 	}
 	for _, g := range a.gifts {
-		if g.Has(k) {
+		if g.omitted && g.Has(k) {
 			return false
 		}
 	}
--- a/internal/core/keyrange/agent_test.go
+++ b/internal/core/keyrange/agent_test.go
@@ -26,7 +26,7 @@
 	all := Table{Rows: []Row{{Span: Span{0, MaxKey}, Owner: a, Fence: 1}}}
 	agent.Read(all, 1, now, now)
 	agent.Beat(Beat{Life: a.Life, Sequence: 1}, now)
-	agent.gifts = []gift{{Span{0, 99}, b, now}}
+	agent.gifts = []gift{{Span: Span{0, 99}, to: b}}
 	agent.Beat(Beat{Life: a.Life, Sequence: 2, Held: []Held{{Span{0, MaxKey}, 1}}}, now)
 	agent.Beat(Beat{Life: a.Life, Sequence: 3, Held: []Held{{Span{100, MaxKey}, 1}}, Freed: []Freed{{Span{0, 99}, "token"}}}, now)
 
--- a/internal/core/keyrange/balance.go
+++ b/internal/core/keyrange/balance.go
@@ -4,12 +4,13 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 )
 
-// Thresholds of moves for balance.
+// Thresholds of moves for balance. A move makes its keys unavailable for about a
+// heartbeat, so that load moves only where requests wait.
 const (
-	busyEnough  = 0.6 // use of the own slots below which load moves nothing
-	idleFactor  = 0.5 // the receiver is at most this busy in terms of the giver
-	fewKeys     = 0.5 // a server with less than this part of its share has few
-	surplusKeys = 1.1 // a server with more than this part of its share has a surplus
+	busyEnough  = 0.95 // use of the own slots below which load moves nothing
+	idleFactor  = 0.6  // the receiver is at most this busy in terms of the giver
+	fewKeys     = 0.5  // a server with less than this part of its share has few
+	surplusKeys = 1.1  // a server with more than this part of its share has a surplus
 )
 
 // balance marks a part of the own keys for another server: for one that has few
@@ -20,16 +21,16 @@
 	}
 	a.load.decay(a.cfg.BalanceEvery)
 	a.balanceAt = now.Add(a.cfg.BalanceEvery)
-	if a.share(now, cs) {
+	if a.share(cs) {
 		return
 	}
-	a.relieve(now, cs)
+	a.relieve(cs)
 }
 
 // share gives a surplus of keys to a server that has few. Givers and receivers
 // are paired by their order, so that givers who decide at once do not all choose
 // the same receiver.
-func (a *Agent) share(now ident.Instant, cs []Candidate) bool {
+func (a *Agent) share(cs []Candidate) bool {
 	var givers, receivers []Candidate
 	slots := 0
 	for _, c := range cs {
@@ -58,30 +59,42 @@
 		return false
 	}
 	to := receivers[place%len(receivers)]
-	return a.giveKeys(own, to.Owner, now)
+	return a.giveKeys(own, to.Owner)
 }
 
-// giveKeys marks about n keys of the largest own row, at its end.
-func (a *Agent) giveKeys(n int, to Owner, now ident.Instant) bool {
+// giveKeys marks about n keys: of the ends of the own rows, the one that is asked
+// for least.
+func (a *Agent) giveKeys(n int, to Owner) bool {
 	var best Span
-	found := false
+	found, least := false, 0.0
 	for _, r := range a.table.Rows {
-		if r.Owner == a.self() && (!found || r.Len() > best.Len()) {
-			best, found = r.Span, true
+		if r.Owner != a.self() || n <= 0 {
+			continue
+		}
+		for _, s := range ends(r.Span, n) {
+			load := a.load.of(s) / float64(s.Len())
+			if !found || load < least || load == least && s.Len() > best.Len() {
+				best, found, least = s, true, load
+			}
 		}
 	}
-	if !found || n <= 0 {
-		return false
+	if found {
+		a.gifts = append(a.gifts, gift{Span: best, to: to})
 	}
-	if n < best.Len() {
-		best.From = best.To - Key(n-1)
+	return found
+}
+
+// ends returns the first and the last n keys of a span, or the span if it has no
+// more.
+func ends(s Span, n int) []Span {
+	if n >= s.Len() {
+		return []Span{s}
 	}
-	a.gifts = append(a.gifts, gift{best, to, now})
-	return true
+	return []Span{{s.From, s.From + Key(n-1)}, {s.To - Key(n-1), s.To}}
 }
 
 // relieve gives a part of the busiest own row to the least busy server.
-func (a *Agent) relieve(now ident.Instant, cs []Candidate) {
+func (a *Agent) relieve(cs []Candidate) {
 	var self Candidate
 	for _, c := range cs {
 		if c.Owner == a.self() {
@@ -109,5 +122,5 @@
 	}
 	want := total * (self.Busy - to.Busy) / (2 * self.Busy)
 	part, _ := a.load.part(busiest, min(want, most))
-	a.gifts = append(a.gifts, gift{part, to.Owner, now})
+	a.gifts = append(a.gifts, gift{Span: part, to: to.Owner})
 }
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -97,7 +97,7 @@
 		}
 		for _, rest := range a.ungiven(r.Span) {
 			if to, ok := a.leastLoaded(cs); ok {
-				a.gifts = append(a.gifts, gift{rest, to.Owner, now})
+				a.gifts = append(a.gifts, gift{Span: rest, to: to.Owner})
 			}
 		}
 	}
