--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -16,7 +16,12 @@
 	SuspectAfter  time.Duration // silence of an owner after which it is suspected
 	Settle        time.Duration // time after the start before keys without owner are given out
 	Stagger       time.Duration // delay between the planners, by rank
-	BalanceEvery  time.Duration // least time between two moves for balance
+	BalanceEvery  time.Duration // least time between two looks at the balance
+
+	// BalanceRest is the time after a move for balance, at its giver and its
+	// receiver, in which neither gives keys away: the requests that waited for the
+	// move say nothing about the load that will be.
+	BalanceRest time.Duration
 }
 
 // Candidate is a backend server of the service that may own keys.
@@ -141,6 +146,9 @@
 	if a.known && next < a.next {
 		return
 	}
+	if gained := t.KeysOf(a.member.Host) > a.table.KeysOf(a.member.Host); gained {
+		a.balanceAt = max(a.balanceAt, answered.Add(a.cfg.BalanceRest))
+	}
 	a.table, a.next, a.known = t, next, true
 	if next > a.unclearAt {
 		a.unclear = false // it was appended, or never will be
--- a/internal/core/keyrange/balance.go
+++ b/internal/core/keyrange/balance.go
@@ -21,10 +21,9 @@
 	}
 	a.load.decay(a.cfg.BalanceEvery)
 	a.balanceAt = now.Add(a.cfg.BalanceEvery)
-	if a.share(cs) {
-		return
+	if !a.share(cs) && a.relieve(cs) {
+		a.balanceAt = now.Add(a.cfg.BalanceRest)
 	}
-	a.relieve(cs)
 }
 
 // share gives a surplus of keys to a server that has few. Givers and receivers
@@ -93,8 +92,9 @@
 	return []Span{{s.From, s.From + Key(n-1)}, {s.To - Key(n-1), s.To}}
 }
 
-// relieve gives a part of the busiest own row to the least busy server.
-func (a *Agent) relieve(cs []Candidate) {
+// relieve gives a part of the busiest own row to the least busy server, and
+// reports whether it did.
+func (a *Agent) relieve(cs []Candidate) bool {
 	var self Candidate
 	for _, c := range cs {
 		if c.Owner == a.self() {
@@ -103,7 +103,7 @@
 	}
 	to, ok := a.leastLoaded(cs)
 	if !ok || self.Busy < busyEnough || to.Busy > idleFactor*self.Busy {
-		return
+		return false
 	}
 	var total, most float64
 	var busiest Span
@@ -118,9 +118,10 @@
 		}
 	}
 	if most == 0 || busiest.Len() < 2 {
-		return
+		return false
 	}
 	want := total * (self.Busy - to.Busy) / (2 * self.Busy)
 	part, _ := a.load.part(busiest, min(want, most))
 	a.gifts = append(a.gifts, gift{Span: part, to: to.Owner})
+	return true
 }
--- a/internal/core/keyrange/world_test.go
+++ b/internal/core/keyrange/world_test.go
@@ -23,7 +23,7 @@
 func testConfig() Config {
 	return Config{
 		Lease: 4 * time.Second, Hold: 1500 * time.Millisecond, DriftPerMille: 20,
-		SuspectAfter: time.Second, Settle: 500 * time.Millisecond, Stagger: 200 * time.Millisecond, BalanceEvery: time.Second,
+		SuspectAfter: time.Second, Settle: 500 * time.Millisecond, Stagger: 200 * time.Millisecond, BalanceEvery: time.Second, BalanceRest: time.Second,
 	}
 }
 
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -50,7 +50,8 @@
 	SuspectAfter  time.Duration `yaml:"suspect_after"`
 	Settle        time.Duration `yaml:"settle"`
 	Stagger       time.Duration `yaml:"stagger"`
-	BalanceEvery  time.Duration `yaml:"balance_every"`
+	BalanceEvery  time.Duration `yaml:"balance_every"` // between two looks at the balance
+	BalanceRest   time.Duration `yaml:"balance_rest"`  // after a move, at both ends
 }
 
 // Retries is the budget of repeats that all daemons share.
@@ -82,6 +83,7 @@
 			Settle:        2 * time.Second,
 			Stagger:       300 * time.Millisecond, // above a round trip to the store between regions
 			BalanceEvery:  time.Second,
+			BalanceRest:   2500 * time.Millisecond, // a move, and as long again to see what it did
 		},
 		Retries:   Retries{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 		Drain:     Drain{ServerTime: 2500 * time.Millisecond, GraceTime: 6 * time.Second},
@@ -125,7 +127,7 @@
 	}{
 		{"store.poll_time", s.Store.PollTime}, {"store.watch_poll", s.Store.WatchPoll}, {"ownership.lease", o.Lease}, {"ownership.lease_poll", o.LeasePoll},
 		{"ownership.hold", o.Hold}, {"ownership.suspect_after", o.SuspectAfter}, {"ownership.settle", o.Settle},
-		{"ownership.stagger", o.Stagger}, {"ownership.balance_every", o.BalanceEvery},
+		{"ownership.stagger", o.Stagger}, {"ownership.balance_every", o.BalanceEvery}, {"ownership.balance_rest", o.BalanceRest},
 		{"retries.window", s.Retries.Window}, {"drain.server_time", s.Drain.ServerTime}, {"drain.grace_time", s.Drain.GraceTime},
 	} {
 		checkDuration(&p, d.path, d.d)
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -116,7 +116,7 @@
 	d.owners = &owners{
 		cfg: keyrange.Config{
 			Lease: o.Lease, Hold: o.Hold, DriftPerMille: o.DriftPerMille, SuspectAfter: o.SuspectAfter,
-			Settle: o.Settle, Stagger: o.Stagger, BalanceEvery: o.BalanceEvery,
+			Settle: o.Settle, Stagger: o.Stagger, BalanceEvery: o.BalanceEvery, BalanceRest: o.BalanceRest,
 		},
 		self: d.member, clock: bootclock.Clock{}, store: d.adapter.Log, log: d.log,
 		candidates: func(s ident.Service) []keyrange.Candidate { return d.peers.candidates(s) },
