--- a/cmd/burdockd/sidecar.go
+++ b/cmd/burdockd/sidecar.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -22,6 +23,10 @@
 // settingsPoll is the time between two looks whether the settings file changed.
 const settingsPoll = time.Second
 
+// gcPercent makes the collector run often: the heap is small, and memory on these
+// hosts is dearer than the processor time that this takes.
+const gcPercent = 40
+
 // runSidecar runs the daemon of a platform deployment.
 func runSidecar(args []string) int {
 	fs := flag.NewFlagSet("burdockd sidecar", flag.ContinueOnError)
@@ -43,6 +48,7 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
+	debug.SetGCPercent(gcPercent)
 	out := telemetry.NewAsyncWriter(os.Stdout)
 	defer func() { _ = out.Close() }()
 	log, err := telemetry.NewLogger(out, cfg.Telemetry.LogLevel)
--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -96,6 +96,7 @@
 	inFlight  bool          // a write was sent and not answered
 	unclear   bool          // a write at unclearAt may be appended, or may have been
 	unclearAt ident.Offset
+	stale     bool // a write was refused: the table has to be read again first
 
 	life      roster.Life // the server's current life; zero before its first heartbeat
 	ready     bool
@@ -149,7 +150,7 @@
 	if gained := t.KeysOf(a.member.Host) > a.table.KeysOf(a.member.Host); gained {
 		a.balanceAt = max(a.balanceAt, answered.Add(a.cfg.BalanceRest))
 	}
-	a.table, a.next, a.known = t, next, true
+	a.table, a.next, a.known, a.stale = t, next, true, false
 	if next > a.unclearAt {
 		a.unclear = false // it was appended, or never will be
 	}
@@ -200,6 +201,8 @@
 		a.Read(w.Table, w.At+1, sent, answered)
 	case Unclear:
 		a.unclear, a.unclearAt = true, w.At
+	case Refused:
+		a.stale = true
 	}
 }
 
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -12,7 +12,7 @@
 // servers of the service that the daemon knows of, its own included. At most one
 // write is under way.
 func (a *Agent) Tick(now ident.Instant, cs []Candidate) *Write {
-	if !a.known || a.inFlight {
+	if !a.known || a.inFlight || a.stale {
 		return nil
 	}
 	slices.SortFunc(cs, func(x, y Candidate) int { return cmp.Compare(x.Owner.Member.Host, y.Owner.Member.Host) })
--- a/internal/sidecar/owners.go
+++ b/internal/sidecar/owners.go
@@ -41,6 +41,7 @@
 	next   ident.Offset                     // end of the stream as last read
 	synced bool                             // the stream was read once
 	local  ident.Service                    // of the server beside the daemon
+	cancel context.CancelFunc               // ends the read that waits for a change
 }
 
 // configure makes an agent for each sharded service.
@@ -154,8 +155,16 @@
 		return o.readAll(ctx)
 	}
 	wait := o.wait()
+	pollCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o.mu.Lock()
+	o.cancel = cancel
+	o.mu.Unlock()
 	sent := o.clock.Now()
-	ch, err := o.store.Poll(ctx, logservice.OwnershipStream, from, wait)
+	ch, err := o.store.Poll(pollCtx, logservice.OwnershipStream, from, wait)
+	if pollCtx.Err() != nil && ctx.Err() == nil {
+		return nil // a write found the stream further on: read again at once
+	}
 	if errors.Is(err, logservice.ErrTruncated) {
 		return o.readAll(ctx)
 	}
@@ -277,6 +286,9 @@
 	answered := o.clock.Now()
 	o.mu.Lock()
 	a.Wrote(w, outcome, sent, answered)
+	if outcome != keyrange.Written && o.cancel != nil {
+		o.cancel()
+	}
 	if outcome == keyrange.Written && w.At+1 > o.next {
 		o.tables[s] = w.Table
 	}
