--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -10,7 +10,9 @@
 // Config sets the times of an agent. All daemons of a service use the same Lease
 // and DriftPerMille.
 type Config struct {
-	Lease         time.Duration // a read of the table covers grants this long
+	Lease         time.Duration // a read of the table covers grants this long with the guards' support
+	Confirm       time.Duration // a read of the table covers grants this long without it
+	Support       time.Duration // a guard's support lasts this long
 	Hold          time.Duration // longest hold of a grant
 	DriftPerMille int           // bound of the drift of clocks, in 1/1000
 	SuspectAfter  time.Duration // silence of an owner after which it is suspected
@@ -27,7 +29,7 @@
 // Candidate is a backend server of the service that may own keys.
 type Candidate struct {
 	Owner Owner
-	Ready bool    // takes new work
+	Ready bool    // takes new work, and its daemon reads the table without delay
 	Alive bool    // its daemon was heard of lately
 	Slots int     // requests that it runs at once
 	Busy  float64 // slots in use and waiting requests over slots
@@ -111,6 +113,7 @@
 	gifts     []gift
 	seen      map[ident.Member]ident.Instant // when a suspicion in the table was first read
 	silent    map[ident.Host]ident.Instant   // owners that are not alive, since when
+	guard     guard
 	gapSince  ident.Instant
 	balanceAt ident.Instant
 	load      load
@@ -126,6 +129,7 @@
 		holdEnds: now.Add(cfg.stretched(cfg.Hold)),
 		seen:     make(map[ident.Member]ident.Instant),
 		silent:   make(map[ident.Host]ident.Instant),
+		guard:    newGuard(),
 	}
 }
 
@@ -150,6 +154,7 @@
 	if gained := t.KeysOf(a.member.Host) > a.table.KeysOf(a.member.Host); gained {
 		a.balanceAt = max(a.balanceAt, answered.Add(a.cfg.BalanceRest))
 	}
+	a.noteLosses(t, next)
 	a.table, a.next, a.known, a.stale = t, next, true, false
 	if next > a.unclearAt {
 		a.unclear = false // it was appended, or never will be
@@ -206,12 +211,25 @@
 	}
 }
 
-// leaseLeft is how long grants may still run. It is negative after the lease.
+// leaseLeft is how long grants may still run: for Confirm after a read of the
+// table, and until Lease after it while a majority of the guards supports this
+// daemon. It is negative after the lease.
 func (a *Agent) leaseLeft(now ident.Instant) time.Duration {
 	if a.confirmed == 0 {
 		return 0
 	}
-	return a.confirmed.Add(a.cfg.Lease).Sub(now)
+	lease := a.confirmed.Add(a.cfg.Lease)
+	if len(a.table.Guards) == 0 {
+		return lease.Sub(now)
+	}
+	supported := min(a.supportedUntil(), lease)
+	return max(a.confirmed.Add(a.cfg.Confirm), supported).Sub(now)
+}
+
+// Current reports whether the table was read so lately that it alone covers
+// grants.
+func (a *Agent) Current(now ident.Instant) bool {
+	return a.confirmed > 0 && now.Sub(a.confirmed) < a.cfg.Confirm
 }
 
 // self is the owner that rows of this daemon name.
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -235,7 +235,7 @@
 		if !silent || now.Sub(since) < wait || t.Suspected(m) {
 			continue
 		}
-		t = Table{Rows: t.Rows, Suspects: append(slices.Clone(t.Suspects), Suspicion{m, a.member.Host})}
+		t.Suspects = append(slices.Clone(t.Suspects), Suspicion{Member: m, By: a.member.Host, At: fence(a.next)})
 		changed = true
 	}
 	if !changed {
@@ -246,12 +246,17 @@
 
 // takeOver gives the rows of suspected owners away once every grant of theirs has
 // run out: a read of theirs that did not show the suspicion was sent before it
-// was appended, so that it covers no grant after the lease.
+// was appended, so that alone it covers no grant after Confirm, and none at all
+// after Lease. Once a majority of the guards consents, nothing else covers one.
 func (a *Agent) takeOver(now ident.Instant, rank int, cs []Candidate) *Write {
 	t, changed := a.table, false
 	for _, s := range a.table.Suspects {
 		seen, ok := a.seen[s.Member]
-		due := seen.Add(a.cfg.stretched(a.cfg.stretched(a.cfg.Lease)) + a.cfg.Stagger*time.Duration(rank))
+		wait := a.cfg.Lease
+		if a.agreed(s) {
+			wait = a.cfg.Confirm
+		}
+		due := seen.Add(a.cfg.stretched(a.cfg.stretched(wait)) + a.cfg.Stagger*time.Duration(rank))
 		if _, silent := a.silent[s.Member.Host]; !ok || !silent || now < due {
 			continue
 		}
@@ -286,6 +291,9 @@
 		return nil
 	}
 	t := a.table
+	if len(t.Rows) == 0 && len(t.Guards) == 0 {
+		t.Guards = chooseGuards(cs)
+	}
 	for _, g := range gaps {
 		t = a.spread(t, g, cs)
 	}
--- a/internal/core/keyrange/table.go
+++ b/internal/core/keyrange/table.go
@@ -14,6 +14,12 @@
 //     new owners on the condition that nothing was appended in between. An owner
 //     that lives objects by appending a table without the suspicion.
 //
+// So that an owner outlives outages of the store and a lost one is followed within
+// seconds, a few hosts are guards: with the support of a majority of them an owner
+// goes on without the store for Config.Lease, else only for Config.Confirm; and a
+// takeover waits only for Config.Confirm once a majority has consented, that is,
+// has stopped its support.
+//
 // The package is pure: events with their instants in, commands out. Instants come
 // from a clock that counts the time in which the machine was suspended.
 package keyrange
@@ -82,10 +88,12 @@
 	Handover string `codec:"h,omitempty"`
 }
 
-// Suspicion says that a process seems to be gone.
+// Suspicion says that a process seems to be gone. At is the fencing token of the
+// append that brought it, which tells it from earlier ones.
 type Suspicion struct {
 	Member ident.Member `codec:"m"`
 	By     ident.Host   `codec:"b"`
+	At     uint64       `codec:"a"`
 }
 
 // Table is the assignment of the keys of one service. Its rows are in order and
@@ -93,6 +101,11 @@
 type Table struct {
 	Rows     []Row       `codec:"r"`
 	Suspects []Suspicion `codec:"s,omitempty"`
+
+	// Guards are the hosts whose support lets an owner go on without the store. They
+	// are set with the first rows and never change, so that any two majorities of
+	// them share a host.
+	Guards []ident.Host `codec:"g,omitempty"`
 }
 
 // Find returns the row of a key.
@@ -169,7 +182,7 @@
 
 // without returns the table with a span left without owner.
 func (t Table) without(s Span) Table {
-	out := Table{Suspects: slices.Clone(t.Suspects)}
+	out := Table{Suspects: slices.Clone(t.Suspects), Guards: t.Guards}
 	for _, r := range t.Rows {
 		for _, rest := range r.Span.without(s) {
 			part := r
@@ -182,7 +195,7 @@
 
 // cleared returns the table without suspicions against a host.
 func (t Table) cleared(h ident.Host) Table {
-	out := Table{Rows: slices.Clone(t.Rows)}
+	out := Table{Rows: slices.Clone(t.Rows), Guards: t.Guards}
 	for _, s := range t.Suspects {
 		if s.Member.Host != h {
 			out.Suspects = append(out.Suspects, s)
--- a/internal/core/keyrange/world_test.go
+++ b/internal/core/keyrange/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 func testConfig() Config {
 	return Config{
 		Lease: 4 * time.Second, Hold: 1500 * time.Millisecond, DriftPerMille: 20,
+		Confirm: 1500 * time.Millisecond, Support: 1500 * time.Millisecond,
 		SuspectAfter: time.Second, Settle: 500 * time.Millisecond, Stagger: 200 * time.Millisecond, BalanceEvery: time.Second, BalanceRest: time.Second,
 	}
 }
@@ -80,6 +82,13 @@
 	holds    []holding
 	freed    []Freed
 	reads    []pendingRead
+	inbox    []letter
+}
+
+// letter is a message between daemons on its way.
+type letter struct {
+	due     ident.Instant
+	deliver func()
 }
 
 type pendingRead struct {
@@ -152,7 +161,9 @@
 	for _, h := range w.hosts {
 		w.expire(h)
 		if h.runs(w.now) {
+			w.deliver(h)
 			w.readStore(h)
+			w.gossip(h)
 			w.beat(h)
 			w.plan(h)
 		}
@@ -160,6 +171,60 @@
 	w.check()
 }
 
+// send puts a message on its way unless a cut stops it. One to a process that is
+// not there any more is lost.
+func (w *world) send(from, to *host, deliver func()) {
+	if from != to && (w.now < from.cut || w.now < to.cut) {
+		return
+	}
+	delay := time.Duration(0)
+	if !w.calm {
+		delay = time.Duration(rapid.IntRange(0, 5).Draw(w.t, "message delay")) * step
+	}
+	process := to.process
+	to.inbox = append(to.inbox, letter{w.now.Add(delay), func() {
+		if to.process == process {
+			deliver()
+		}
+	}})
+}
+
+func (w *world) deliver(h *host) {
+	letters := h.inbox
+	h.inbox = nil
+	for _, l := range letters {
+		if l.due <= w.now {
+			l.deliver()
+		} else {
+			h.inbox = append(h.inbox, l)
+		}
+	}
+}
+
+// gossip asks the guards for support, and sends consents.
+func (w *world) gossip(h *host) {
+	if (int64(w.now)/int64(step))%3 != 0 {
+		return
+	}
+	guards := h.agent.Guards()
+	member, next, asked := h.agent.member, h.agent.Next(), w.now
+	for _, g := range w.hosts {
+		if !slices.Contains(guards, g.name) {
+			continue
+		}
+		w.send(h, g, func() {
+			if g.agent.SupportFor(member, next, w.now) {
+				w.send(g, h, func() { h.agent.Supported(g.name, asked) })
+			}
+		})
+	}
+	for _, s := range h.agent.Consents(w.now) {
+		for _, to := range w.hosts {
+			w.send(h, to, func() { to.agent.Consented(h.name, s) })
+		}
+	}
+}
+
 func (w *world) reachesStore(h *host) bool {
 	return w.now >= w.down && w.now >= h.cut && w.now >= h.noStore
 }
@@ -332,7 +397,7 @@
 }
 
 func runWorld(t *rapid.T, cfg Config) *world {
-	w := newWorld(t, rapid.IntRange(2, 4).Draw(t, "hosts"), cfg)
+	w := newWorld(t, rapid.IntRange(2, 5).Draw(t, "hosts"), cfg)
 	for range rapid.IntRange(1, 8).Draw(t, "faults") {
 		for range rapid.IntRange(1, 60).Draw(t, "calm") {
 			w.step()
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -63,6 +63,7 @@
 	Heard      ident.Instant // last sign of life
 	ColdUntil  ident.Instant // its server is slow until then
 	ReadySince ident.Instant // its server takes work since then; zero: it does not
+	Current    bool          // it reads the log service without delay, by its last pulse
 	LostAt     ident.Instant // a call failed since the last sign of life; zero: none did
 }
 
@@ -92,6 +93,9 @@
 			p.ReadySince = old.ReadySince
 		}
 	}
+	if old != nil && old.Member == e.Member {
+		p.Current = old.Current
+	}
 	r.peers[e.Member.Host] = p
 	return true
 }
@@ -154,9 +158,10 @@
 	return gone
 }
 
-// SetBusy notes the load of the server beside a process.
-func (r *Roster) SetBusy(m ident.Member, busy float64) {
+// Pulse notes the load of the server beside a process, and whether the process
+// reads the log service without delay.
+func (r *Roster) Pulse(m ident.Member, busy float64, current bool) {
 	if p := r.peers[m.Host]; p != nil && p.Member == m {
-		p.Busy = busy
+		p.Busy, p.Current = busy, current
 	}
 }
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -43,7 +43,9 @@
 
 // Ownership sets the times of the ownership of shard keys.
 type Ownership struct {
-	Lease         time.Duration `yaml:"lease"`      // how long a read of the table covers grants
+	Lease         time.Duration `yaml:"lease"`      // how long a read of the table covers grants with the guards' support
+	Confirm       time.Duration `yaml:"confirm"`    // and how long without it
+	Support       time.Duration `yaml:"support"`    // how long a guard's support lasts
 	LeasePoll     time.Duration `yaml:"lease_poll"` // wait of the reads that renew it
 	Hold          time.Duration `yaml:"hold"`       // how long a grant lasts
 	DriftPerMille int           `yaml:"drift_per_mille"`
@@ -75,11 +77,13 @@
 			WatchPoll: 1800 * time.Millisecond, // with the timeout of a call, within the time to regain touch
 		},
 		Ownership: Ownership{
-			Lease:         12 * time.Second, // longer than the outages of the store that must be borne
-			LeasePoll:     3 * time.Second,
+			Lease:         12 * time.Second,        // longer than the outages of the store that must be borne
+			Confirm:       2500 * time.Millisecond, // with the suspicion before it, a takeover within 5 s
+			Support:       2500 * time.Millisecond, // five pulses
+			LeasePoll:     1500 * time.Millisecond,
 			Hold:          2600 * time.Millisecond, // three heartbeats
 			DriftPerMille: 20,                      // the greatest drift of a backend server's clock
-			SuspectAfter:  1500 * time.Millisecond, // three missed pulses
+			SuspectAfter:  1200 * time.Millisecond, // two missed pulses, and the way
 			Settle:        2 * time.Second,
 			Stagger:       300 * time.Millisecond, // above a round trip to the store between regions
 			BalanceEvery:  time.Second,
@@ -125,7 +129,7 @@
 		path string
 		d    time.Duration
 	}{
-		{"store.poll_time", s.Store.PollTime}, {"store.watch_poll", s.Store.WatchPoll}, {"ownership.lease", o.Lease}, {"ownership.lease_poll", o.LeasePoll},
+		{"store.poll_time", s.Store.PollTime}, {"store.watch_poll", s.Store.WatchPoll}, {"ownership.lease", o.Lease}, {"ownership.confirm", o.Confirm}, {"ownership.support", o.Support}, {"ownership.lease_poll", o.LeasePoll},
 		{"ownership.hold", o.Hold}, {"ownership.suspect_after", o.SuspectAfter}, {"ownership.settle", o.Settle},
 		{"ownership.stagger", o.Stagger}, {"ownership.balance_every", o.BalanceEvery}, {"ownership.balance_rest", o.BalanceRest},
 		{"retries.window", s.Retries.Window}, {"drain.server_time", s.Drain.ServerTime}, {"drain.grace_time", s.Drain.GraceTime},
@@ -135,6 +139,9 @@
 	if o.LeasePoll > 0 && o.Lease < minRenewalsPerLease*o.LeasePoll {
 		p.add("ownership.lease_poll", "must be at most a third of ownership.lease")
 	}
+	if o.Confirm > o.Lease || o.Support > o.Lease {
+		p.add("ownership.lease", "must be at least ownership.confirm and ownership.support")
+	}
 	if o.DriftPerMille < 0 || o.DriftPerMille > 500 {
 		p.add("ownership.drift_per_mille", "must be from 0 to 500")
 	}
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -115,7 +115,7 @@
 	o := d.cfg.Ownership
 	d.owners = &owners{
 		cfg: keyrange.Config{
-			Lease: o.Lease, Hold: o.Hold, DriftPerMille: o.DriftPerMille, SuspectAfter: o.SuspectAfter,
+			Lease: o.Lease, Confirm: o.Confirm, Support: o.Support, Hold: o.Hold, DriftPerMille: o.DriftPerMille, SuspectAfter: o.SuspectAfter,
 			Settle: o.Settle, Stagger: o.Stagger, BalanceEvery: o.BalanceEvery, BalanceRest: o.BalanceRest,
 		},
 		self: d.member, clock: bootclock.Clock{}, store: d.adapter.Log, log: d.log,
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -20,16 +20,18 @@
 
 // The types of control messages.
 const (
-	typeHello  = "h"
-	typePulse  = "p"
-	typeConfig = "c"
-	typeHint   = "v"
+	typeHello   = "h"
+	typePulse   = "p"
+	typeConfig  = "c"
+	typeHint    = "v"
+	typeSupport = "s"
+	typeConsent = "a"
 )
 
 // Times of what daemons tell one another.
 const (
 	pulseEvery   = 500 * time.Millisecond // among daemons whose servers hold keys
-	aliveFor     = 1500 * time.Millisecond
+	aliveFor     = 1200 * time.Millisecond
 	greetEvery   = 500 * time.Millisecond // to daemons that have not answered
 	refreshEvery = 10 * time.Second       // to all others
 	greetFor     = 20 * time.Second       // how long one that never answers is greeted
@@ -41,9 +43,26 @@
 	Reply bool         `codec:"r"`
 }
 
-// pulse is a sign of life with the load of the sender's server.
+// pulse is a sign of life with the load of the sender's server. It asks a guard
+// for support.
 type pulse struct {
-	Busy float64 `codec:"b"`
+	Busy    float32       `codec:"b"`
+	Service ident.Service `codec:"s"`
+	Seq     uint32        `codec:"q"`
+	Next    ident.Offset  `codec:"n"` // how far the sender has read the tables
+	Current bool          `codec:"c"` // and did so just now
+}
+
+// support answers a pulse of an owner that goes on without the store.
+type support struct {
+	Service ident.Service `codec:"s"`
+	Seq     uint32        `codec:"q"` // of the pulse
+}
+
+// consent tells that a guard supports a suspected process no more.
+type consent struct {
+	Service   ident.Service      `codec:"s"`
+	Suspicion keyrange.Suspicion `codec:"u"`
 }
 
 // document carries the operators' configuration to a daemon that has an older
@@ -176,6 +195,7 @@
 			p.merge(p.own())
 			p.sendHello(p.due, true)
 			p.sendPulses()
+			p.sendConsents()
 		}
 	}
 }
@@ -236,18 +256,42 @@
 	if !p.owners.sharded(s.Service) {
 		return
 	}
+	seq, next, guards := p.owners.askSupport(s.Service)
+	p.mu.Lock()
+	message := pulse{Busy: float32(p.busy), Service: s.Service, Seq: seq, Next: next, Current: p.owners.current(s.Service)}
+	p.mu.Unlock()
+	to := p.choose(func(q *roster.Peer) bool {
+		return q.Server.Service == s.Service || slices.Contains(guards, q.Member.Host)
+	})
+	for _, q := range to {
+		p.send(q, typePulse, message)
+	}
+}
+
+// sendConsents tells the daemons of each sharded service to which suspicions this
+// guard consents.
+func (p *peers) sendConsents() {
+	for service, suspicions := range p.owners.consents() {
+		to := p.choose(func(q *roster.Peer) bool { return q.Server.Service == service })
+		for _, s := range suspicions {
+			for _, q := range to {
+				p.send(q, typeConsent, consent{Service: service, Suspicion: s})
+			}
+		}
+	}
+}
+
+// choose returns the other daemons that a filter chooses.
+func (p *peers) choose(filter func(*roster.Peer) bool) []roster.Entry {
 	p.mu.Lock()
-	busy := p.busy
-	var mates []roster.Entry
+	defer p.mu.Unlock()
+	var out []roster.Entry
 	p.roster.Each(func(q *roster.Peer) {
-		if q.Member.Host != p.self.Host && q.Server.Service == s.Service {
-			mates = append(mates, q.Entry)
+		if q.Member.Host != p.self.Host && filter(q) {
+			out = append(out, q.Entry)
 		}
 	})
-	p.mu.Unlock()
-	for _, q := range mates {
-		p.send(q, typePulse, pulse{Busy: busy})
-	}
+	return out
 }
 
 // send sends a control message; one that cannot be sent is repeated by the next.
@@ -279,6 +323,16 @@
 		if err = codec.Unmarshal(m.Data, &d); err == nil {
 			p.configs.apply(d.Config, string(from.Host))
 		}
+	case typeSupport:
+		var u support
+		if err = codec.Unmarshal(m.Data, &u); err == nil {
+			p.owners.supported(u.Service, from.Host, u.Seq)
+		}
+	case typeConsent:
+		var c consent
+		if err = codec.Unmarshal(m.Data, &c); err == nil {
+			p.owners.consented(c.Service, from.Host, c.Suspicion)
+		}
 	case typeHint:
 		var h hint
 		if err = codec.Unmarshal(m.Data, &h); err == nil {
@@ -310,13 +364,18 @@
 
 func (p *peers) onPulse(from ident.Member, q pulse) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.roster.Alive(from, p.clock.Now())
-	p.roster.SetBusy(from, q.Busy)
+	p.roster.Pulse(from, float64(q.Busy), q.Current)
+	sender, known := p.roster.Get(from.Host)
+	p.mu.Unlock()
+	if known && p.owners.supportFor(q.Service, from, q.Next) {
+		p.send(sender.Entry, typeSupport, support{Service: q.Service, Seq: q.Seq})
+	}
 }
 
 // candidates returns all known daemons; those are ready whose servers may own
-// keys of the service.
+// keys of the service. One that cannot read the tables would not learn of keys that
+// it was given.
 func (p *peers) candidates(s ident.Service) []keyrange.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -325,7 +384,7 @@
 	p.roster.Each(func(q *roster.Peer) {
 		out = append(out, keyrange.Candidate{
 			Owner: keyrange.Owner{Member: q.Member, Life: q.Server.Life},
-			Ready: q.Server.Service == s && q.Server.State == roster.Ready && !q.Leaving,
+			Ready: q.Server.Service == s && q.Server.State == roster.Ready && !q.Leaving && (q.Current || q.Member == p.self),
 			Alive: q.Member == p.self || now.Sub(q.Heard) < aliveFor,
 			Slots: q.Server.Slots,
 			Busy:  q.Busy,
@@ -410,15 +469,7 @@
 	if !p.watches() {
 		return
 	}
-	p.mu.Lock()
-	var all []roster.Entry
-	p.roster.Each(func(q *roster.Peer) {
-		if q.Member.Host != p.self.Host {
-			all = append(all, q.Entry)
-		}
-	})
-	p.mu.Unlock()
-	for _, q := range all {
+	for _, q := range p.choose(func(*roster.Peer) bool { return true }) {
 		p.send(q, typeHint, hint{Version: uint64(v)})
 	}
 }
