Hot neighbouring keys are dealt out to several servers in one move

Cause: an overloaded owner gave one contiguous part to one server, so that a hot set of neighbouring keys only changed its place. The busiest buckets of 64 keys are now dealt out to the servers with room, down to the mean use.

--- a/internal/core/keyrange/balance.go
+++ b/internal/core/keyrange/balance.go
@@ -1,6 +1,9 @@
 package keyrange
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 )
 
@@ -92,36 +95,105 @@
 	return []Span{{s.From, s.From + Key(n-1)}, {s.To - Key(n-1), s.To}}
 }
 
-// relieve gives a part of the busiest own row to the least busy server, and
+// mostGifts bounds the ranges that one relief gives away: they move at the same
+// time, and each may split a row.
+const mostGifts = 8
+
+// relieve deals the busiest buckets of an overloaded server out to those with
+// room, so that hot keys that lie close together end up at several servers. It
 // reports whether it did.
 func (a *Agent) relieve(cs []Candidate) bool {
-	var self Candidate
+	room, busy, mean := a.room(cs)
+	if busy < busyEnough || len(room) == 0 {
+		return false
+	}
+	hot, total := a.hotBuckets()
+	gave := false
+	for _, b := range hot {
+		if busy <= mean+closeEnough || len(a.gifts) >= mostGifts {
+			break
+		}
+		part := useOf(b, total, room[0].busy0)
+		to := roomiest(room)
+		if mean-to.busy < part*fitting {
+			continue
+		}
+		a.gifts = append(a.gifts, gift{Span: b.Span, to: to.owner})
+		to.busy += part
+		busy -= part
+		gave = true
+	}
+	return gave
+}
+
+const (
+	closeEnough = 0.1 // above the mean use, a server needs no more relief
+	fitting     = 0.7 // a bucket goes where at least this part of it has room
+)
+
+// receiver is a server that may be given keys, with its use of slots as it will be.
+type receiver struct {
+	owner Owner
+	busy  float64
+	busy0 float64 // of the giver, before the relief
+}
+
+// room returns the servers that are far less busy than this daemon's, this one's
+// use, and the mean use of all.
+func (a *Agent) room(cs []Candidate) (to []*receiver, busy, mean float64) {
+	n := 0
 	for _, c := range cs {
+		if !c.Ready || !c.Alive {
+			continue
+		}
+		n++
+		mean += c.Busy
 		if c.Owner == a.self() {
-			self = c
+			busy = c.Busy
 		}
 	}
-	to, ok := a.leastLoaded(cs)
-	if !ok || self.Busy < busyEnough || to.Busy > idleFactor*self.Busy {
-		return false
+	for _, c := range cs {
+		if c.Ready && c.Alive && c.Owner != a.self() && c.Busy <= idleFactor*busy {
+			to = append(to, &receiver{owner: c.Owner, busy: c.Busy, busy0: busy})
+		}
+	}
+	return to, busy, mean / float64(max(n, 1))
+}
+
+func roomiest(to []*receiver) *receiver {
+	best := to[0]
+	for _, r := range to {
+		if r.busy < best.busy {
+			best = r
+		}
 	}
-	var total, most float64
-	var busiest Span
+	return best
+}
+
+// bucket is a range of keys with its load.
+type bucket struct {
+	Span
+	load float64
+}
+
+// hotBuckets returns the buckets of the own rows, the busiest first, and the load
+// of all.
+func (a *Agent) hotBuckets() (hot []bucket, total float64) {
 	for _, r := range a.table.Rows {
 		if r.Owner != a.self() {
 			continue
 		}
-		load := a.load.of(r.Span)
-		total += load
-		if load > most {
-			busiest, most = r.Span, load
+		for b := int(r.From) >> bucketBits; b <= int(r.To)>>bucketBits; b++ {
+			s := Span{Key(b << bucketBits), Key(b<<bucketBits | (1<<bucketBits - 1))}.cut(r.Span)
+			if l := a.load.of(s); l > 0 {
+				hot = append(hot, bucket{s, l})
+				total += l
+			}
 		}
 	}
-	if most == 0 || busiest.Len() < 2 {
-		return false
-	}
-	want := total * (self.Busy - to.Busy) / (2 * self.Busy)
-	part, _ := a.load.part(busiest, min(want, most))
-	a.gifts = append(a.gifts, gift{Span: part, to: to.Owner})
-	return true
+	slices.SortFunc(hot, func(x, y bucket) int { return cmp.Compare(y.load, x.load) })
+	return hot, total
 }
+
+// useOf is the use of slots that a bucket accounts for.
+func useOf(b bucket, total, busy float64) float64 { return busy * b.load / total }
--- a/internal/core/keyrange/load.go
+++ b/internal/core/keyrange/load.go
@@ -44,18 +44,3 @@
 	}
 	return sum
 }
-
-// part returns the leading part of a span that carries about the load wanted,
-// ending at the end of a bucket. It never takes the whole span.
-func (l *load) part(s Span, want float64) (Span, float64) {
-	var sum float64
-	for b := int(s.From) >> bucketBits; b < int(s.To)>>bucketBits; b++ {
-		end := Key(b<<bucketBits | (1<<bucketBits - 1))
-		sum += l.of(Span{max(s.From, Key(b<<bucketBits)), end})
-		if sum >= want {
-			return Span{s.From, end}, sum
-		}
-	}
-	mid := s.From + Key((s.Len()-1)/2)
-	return Span{s.From, mid}, l.of(Span{s.From, mid})
-}
