--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -90,7 +90,7 @@
 	d.service.Store(&cfg.Service)
 	d.gate = admitting.NewGate(admission.DefaultConfig(firstSlots), d.clock)
 	d.buildOwners()
-	d.server = &server{clock: d.clock, owners: d.owners, gate: d.gate, log: log, change: func() { d.peers.changed() }}
+	d.server = &server{clock: d.clock, owners: d.owners, gate: d.gate, log: log, drainTime: cfg.Drain.ServerTime, change: func() { d.peers.changed() }}
 	d.configs = &configs{
 		store: adapter.Log, decode: adapter.DecodeConfig, log: log,
 		pollTime: func() time.Duration { return d.peers.configWait() },
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -19,6 +19,10 @@
 // beatInterval is the usual time between two heartbeats.
 const beatInterval = 870 * time.Millisecond
 
+// drainMargin is taken off the time in which a leaving server may get work: for the
+// way of a request to it.
+const drainMargin = 500 * time.Millisecond
+
 // server is what the daemon knows of the backend server beside it. It implements
 // ServerPort.
 type server struct {
@@ -28,13 +32,16 @@
 	log    *zap.Logger
 	change func() // tells the other daemons
 
+	drainTime time.Duration // in which a server that leaves may still get work
+
 	mu       sync.Mutex // guards the fields below
 	life     roster.Life
 	service  ident.Service
 	addr     string
 	slots    int
 	sequence int64
-	leaving  bool // it drains or has taken its leave
+	leaving  bool          // it drains or has taken its leave
+	leftAt   ident.Instant // since when
 	lost     bool
 	cold     ident.Instant // it is slow until then
 	beatAt   ident.Instant
@@ -75,6 +82,9 @@
 	if !same || r.Cold > 0 {
 		s.cold = now.Add(r.Cold)
 	}
+	if r.Draining && (!s.leaving || !same) {
+		s.leftAt = now
+	}
 	s.life, s.service, s.addr, s.slots, s.sequence = r.Life, r.Service, r.Addr, r.Slots, r.Sequence
 	s.leaving, s.lost, s.beatAt = r.Draining, false, now
 	return changed, false
@@ -86,7 +96,7 @@
 	s.mu.Lock()
 	known := s.life.ID == id && !s.leaving
 	if known {
-		s.leaving = true
+		s.leaving, s.leftAt = true, s.clock.Now()
 	}
 	service := s.service
 	s.mu.Unlock()
@@ -134,14 +144,16 @@
 }
 
 // target returns where requests of a service go; ok is false if no server runs
-// it here. A leaving server gets only work for keys that it still holds.
+// it here, or if it was acknowledged too long ago that the server leaves. Until
+// then a leaving server gets only work for keys that it still holds.
 func (s *server) target(service ident.Service) (t origin.Server, leaving, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.life.ID == "" || s.service != service {
 		return t, false, false
 	}
-	return origin.Server{Addr: s.addr, ID: s.life.ID}, s.leaving, !s.lost
+	over := s.leaving && s.clock.Now().Sub(s.leftAt) > s.drainTime-drainMargin
+	return origin.Server{Addr: s.addr, ID: s.life.ID}, s.leaving, !s.lost && !over
 }
 
 // entry returns what the other daemons are told of the server.
