--- a/internal/hop/wire.go
+++ b/internal/hop/wire.go
@@ -15,7 +15,8 @@
 // wireRequest is the CBOR array of a request. Bodies up to inlineBytes travel in
 // it, longer ones as the stream's body.
 type wireRequest struct {
-	_struct  struct{} `codec:",toarray"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads its tag
+	_struct  struct{} `codec:",toarray"`
 	ID       string
 	Method   string
 	Host     string
@@ -34,7 +35,8 @@
 
 // wireAnswer is the CBOR array of an answer.
 type wireAnswer struct {
-	_struct  struct{} `codec:",toarray"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads its tag
+	_struct  struct{} `codec:",toarray"`
 	Status   int
 	Header   []string
 	Body     []byte
@@ -45,7 +47,8 @@
 }
 
 type wireFailure struct {
-	_struct struct{} `codec:",toarray"` //nolint:unused // read by the codec
+	//lint:ignore U1000 the codec reads its tag
+	_struct struct{} `codec:",toarray"`
 	Kind    uint8
 	Truth   string
 	Detail  string
