--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -18,16 +18,6 @@
 	"github.com/burdockfold/burdockfold/internal/mesh"
 )
 
-// The types of control messages.
-const (
-	typeHello   = "h"
-	typePulse   = "p"
-	typeConfig  = "c"
-	typeHint    = "v"
-	typeSupport = "s"
-	typeConsent = "a"
-)
-
 // Times of what daemons tell one another.
 const (
 	pulseEvery   = 500 * time.Millisecond // among daemons whose servers hold keys
@@ -37,45 +27,6 @@
 	greetFor     = 20 * time.Second       // how long one that never answers is greeted
 )
 
-// hello tells what a daemon is. Reply asks for the receiver's.
-type hello struct {
-	Entry roster.Entry `codec:"e"`
-	Reply bool         `codec:"r"`
-}
-
-// pulse is a sign of life with the load of the sender's server. It asks a guard
-// for support.
-type pulse struct {
-	Busy    float32       `codec:"b"`
-	Service ident.Service `codec:"s"`
-	Seq     uint32        `codec:"q"`
-	Next    ident.Offset  `codec:"n"` // how far the sender has read the tables
-	Current bool          `codec:"c"` // and did so just now
-}
-
-// support answers a pulse of an owner that goes on without the store.
-type support struct {
-	Service ident.Service `codec:"s"`
-	Seq     uint32        `codec:"q"` // of the pulse
-}
-
-// consent tells that a guard supports a suspected process no more.
-type consent struct {
-	Service   ident.Service      `codec:"s"`
-	Suspicion keyrange.Suspicion `codec:"u"`
-}
-
-// document carries the operators' configuration to a daemon that has an older
-// one.
-type document struct {
-	Config []byte `codec:"c"`
-}
-
-// hint names the version of the configuration that the sender has in force.
-type hint struct {
-	Version uint64 `codec:"v"`
-}
-
 // peers keeps the roster and speaks to the other daemons.
 type peers struct {
 	self    ident.Member
@@ -207,18 +158,6 @@
 	p.roster.Merge(e, p.clock.Now())
 }
 
-// sample averages the load of the server over about a second.
-func (p *peers) sample() {
-	l, slots := p.gate.Load(), p.server.entry().Slots
-	if slots <= 0 {
-		return
-	}
-	now := float64(l.Running+l.Waiting) / float64(slots)
-	p.mu.Lock()
-	p.busy = (p.busy + now) / 2
-	p.mu.Unlock()
-}
-
 // due reports whether a peer is to be greeted: one that has not spoken, often
 // and for a while; any other, now and then.
 func (p *peers) due(q roster.Peer, now ident.Instant) bool {
@@ -250,37 +189,6 @@
 	}
 }
 
-// sendPulses tells the daemons of the same sharded service that this one lives.
-func (p *peers) sendPulses() {
-	s := p.server.entry()
-	if !p.owners.sharded(s.Service) {
-		return
-	}
-	seq, next, guards := p.owners.askSupport(s.Service)
-	p.mu.Lock()
-	message := pulse{Busy: float32(p.busy), Service: s.Service, Seq: seq, Next: next, Current: p.owners.current(s.Service)}
-	p.mu.Unlock()
-	to := p.choose(func(q *roster.Peer) bool {
-		return q.Server.Service == s.Service || slices.Contains(guards, q.Member.Host)
-	})
-	for _, q := range to {
-		p.send(q, typePulse, message)
-	}
-}
-
-// sendConsents tells the daemons of each sharded service to which suspicions this
-// guard consents.
-func (p *peers) sendConsents() {
-	for service, suspicions := range p.owners.consents() {
-		to := p.choose(func(q *roster.Peer) bool { return q.Server.Service == service })
-		for _, s := range suspicions {
-			for _, q := range to {
-				p.send(q, typeConsent, consent{Service: service, Suspicion: s})
-			}
-		}
-	}
-}
-
 // choose returns the other daemons that a filter chooses.
 func (p *peers) choose(filter func(*roster.Peer) bool) []roster.Entry {
 	p.mu.Lock()
@@ -362,17 +270,6 @@
 	}
 }
 
-func (p *peers) onPulse(from ident.Member, q pulse) {
-	p.mu.Lock()
-	p.roster.Alive(from, p.clock.Now())
-	p.roster.Pulse(from, float64(q.Busy), q.Current)
-	sender, known := p.roster.Get(from.Host)
-	p.mu.Unlock()
-	if known && p.owners.supportFor(q.Service, from, q.Next) {
-		p.send(sender.Entry, typeSupport, support{Service: q.Service, Seq: q.Seq})
-	}
-}
-
 // candidates returns all known daemons; those are ready whose servers may own
 // keys of the service. One that cannot read the tables would not learn of keys that
 // it was given.
@@ -438,38 +335,3 @@
 	}
 	p.roster.Lost(m, p.clock.Now())
 }
-
-// watchers is how many daemons of each region watch the configuration for all.
-const watchers = 2
-
-// watches reports whether this daemon is one of its region's watchers: those
-// with the lowest names among the living.
-func (p *peers) watches() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	before := 0
-	p.roster.Each(func(q *roster.Peer) {
-		if q.Place.Region == p.place.Region && q.Member.Host < p.self.Host && q.LostAt == 0 && q.Heard > 0 && !q.Leaving {
-			before++
-		}
-	})
-	return before < watchers
-}
-
-// configWait is how long a read waits for a change of the configuration.
-func (p *peers) configWait() time.Duration {
-	if p.watches() {
-		return p.watchPoll
-	}
-	return p.pollTime
-}
-
-// hintConfig tells the others of a version, if this daemon watches for them.
-func (p *peers) hintConfig(v routes.Version) {
-	if !p.watches() {
-		return
-	}
-	for _, q := range p.choose(func(*roster.Peer) bool { return true }) {
-		p.send(q, typeHint, hint{Version: uint64(v)})
-	}
-}
