No owner gets more rows than the answer to a heartbeat carries

Without the bound TestRowsOfAnOwnerAreBounded finds 68 rows. Ruled out: joining rows (fences and handovers differ).

--- a/internal/core/keyrange/balance.go
+++ b/internal/core/keyrange/balance.go
@@ -99,6 +99,10 @@
 // time, and each may split a row.
 const mostGifts = 8
 
+// mostRows bounds the rows of one owner: with their fences and handovers they fit
+// into the 4 KiB that a backend server reads of the answer to its heartbeat.
+const mostRows = 64
+
 // relieve deals the busiest buckets of an overloaded server out to those with
 // room, so that hot keys that lie close together end up at several servers. It
 // reports whether it did.
@@ -115,7 +119,7 @@
 		}
 		part := useOf(b, total, room[0].busy0)
 		to := roomiest(room)
-		if mean-to.busy < part*fitting {
+		if mean-to.busy < part*fitting || a.rowsOf(to.owner) >= mostRows || a.rowsOf(a.self()) >= mostRows {
 			continue
 		}
 		a.gifts = append(a.gifts, gift{Span: b.Span, to: to.owner})
@@ -170,6 +174,22 @@
 	return best
 }
 
+// rowsOf counts the rows of an owner, with those it is about to be given.
+func (a *Agent) rowsOf(o Owner) int {
+	n := 0
+	for _, r := range a.table.Rows {
+		if r.Owner == o {
+			n++
+		}
+	}
+	for _, g := range a.gifts {
+		if g.to == o || o == a.self() { // a gift may split an own row
+			n++
+		}
+	}
+	return n
+}
+
 // bucket is a range of keys with its load.
 type bucket struct {
 	Span
--- a/internal/core/keyrange/balance_test.go
+++ b/internal/core/keyrange/balance_test.go
@@ -62,3 +62,28 @@
 	assert.Assert(t, !agent.relieve(cs))
 	assert.Equal(t, len(agent.gifts), 0)
 }
+
+// Relief goes on for as long as it helps, but no owner ends up with more rows than
+// the answer to a heartbeat can carry.
+func TestRowsOfAnOwnerAreBounded(t *testing.T) {
+	a, b := owner("a"), owner("b")
+	now := ident.Instant(time.Hour)
+	agent := NewAgent(testConfig(), a.Member, now)
+	agent.Read(Table{Rows: []Row{{Span: Span{0, MaxKey}, Owner: a, Fence: 1}}}, 1, now, now)
+	agent.Beat(Beat{Life: a.Life, Sequence: 1}, now)
+	cs := []Candidate{candidate(a), candidate(b)}
+	cs[0].Busy = 3
+	for round := range 100 {
+		hotNeighbours(agent, Key(round*640), 200)
+		agent.relieve(cs)
+		table := agent.table
+		for _, g := range agent.gifts {
+			table = table.with(Row{Span: g.Span, Owner: g.to, Fence: uint64(round) + 2, Handover: "0123456789abcdef"})
+		}
+		agent.gifts = nil
+		agent.Read(table, ident.Offset(round+2), now, now)
+		for _, o := range []Owner{a, b} {
+			assert.Assert(t, agent.rowsOf(o) <= mostRows+1, "%s has %d rows", o.Member.Host, agent.rowsOf(o))
+		}
+	}
+}
