A renewed suspicion is waited for anew

Cause: a planner kept the time of a suspicion by the suspected process. One that missed the objection between two of its reads counted the wait for a second suspicion from the first, and took keys whose owner could still grant them: two holders. The time is now kept by the suspicion itself. Ruled out: late writes and the guards (the trace has neither in the step that breaks it).

--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -1,6 +1,7 @@
 package keyrange
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
@@ -111,8 +112,8 @@
 	granted   []grantNote   // ranges that the current life may hold
 	holdEnds  ident.Instant // no grant sent so far is good after it
 	gifts     []gift
-	seen      map[ident.Member]ident.Instant // when a suspicion in the table was first read
-	silent    map[ident.Host]ident.Instant   // owners that are not alive, since when
+	seen      map[Suspicion]ident.Instant  // when a suspicion in the table was first read
+	silent    map[ident.Host]ident.Instant // owners that are not alive, since when
 	guard     guard
 	gapSince  ident.Instant
 	balanceAt ident.Instant
@@ -127,7 +128,7 @@
 		member:   m,
 		started:  now,
 		holdEnds: now.Add(cfg.stretched(cfg.Hold)),
-		seen:     make(map[ident.Member]ident.Instant),
+		seen:     make(map[Suspicion]ident.Instant),
 		silent:   make(map[ident.Host]ident.Instant),
 		guard:    newGuard(),
 	}
@@ -165,16 +166,17 @@
 	a.noteSuspicions(answered)
 }
 
-// noteSuspicions remembers from when on each suspicion was certainly to be read.
+// noteSuspicions remembers from when on each suspicion was certainly to be read. A
+// process that is suspected again after it objected is waited for anew.
 func (a *Agent) noteSuspicions(answered ident.Instant) {
-	for m := range a.seen {
-		if !a.table.Suspected(m) {
-			delete(a.seen, m)
+	for s := range a.seen {
+		if !slices.Contains(a.table.Suspects, s) {
+			delete(a.seen, s)
 		}
 	}
 	for _, s := range a.table.Suspects {
-		if _, ok := a.seen[s.Member]; !ok {
-			a.seen[s.Member] = answered
+		if _, ok := a.seen[s]; !ok {
+			a.seen[s] = answered
 		}
 	}
 }
--- a/internal/core/keyrange/agent_test.go
+++ b/internal/core/keyrange/agent_test.go
@@ -47,3 +47,29 @@
 	assert.Equal(t, row.Owner, b)
 	assert.Equal(t, row.Handover, "token")
 }
+
+// A suspicion is waited for from its own appearance. A planner that missed the
+// objection to an earlier one, and finds the same process suspected again, must not
+// count the time since the first. Found by TestNoTwoServersHoldAKey.
+func TestRenewedSuspicionIsWaitedForAnew(t *testing.T) {
+	a, b := owner("a"), owner("b")
+	cfg := testConfig()
+	now := ident.Instant(time.Hour)
+	agent := NewAgent(cfg, a.Member, now)
+	agent.Beat(Beat{Life: a.Life, Sequence: 1}, now)
+	rows := []Row{{Span: Span{0, 99}, Owner: a, Fence: 1}, {Span: Span{100, MaxKey}, Owner: b, Fence: 1}}
+	suspected := func(at uint64) Table {
+		return Table{Rows: rows, Suspects: []Suspicion{{Member: b.Member, By: "c", At: at}}}
+	}
+	lost := candidate(b)
+	lost.Alive = false
+	cs := func() []Candidate { return []Candidate{candidate(a), lost} }
+
+	agent.Read(suspected(3), 3, now, now)
+	agent.Tick(now, cs())
+	now = now.Add(2 * cfg.Lease) // b objected meanwhile, and was suspected once more
+	agent.Read(suspected(7), 7, now, now)
+	agent.Beat(Beat{Life: a.Life, Sequence: 2}, now)
+	w := agent.Tick(now.Add(step), cs())
+	assert.Assert(t, w == nil || w.Reason != "takeover", "taken over %v after the second suspicion", step)
+}
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -251,7 +251,7 @@
 func (a *Agent) takeOver(now ident.Instant, rank int, cs []Candidate) *Write {
 	t, changed := a.table, false
 	for _, s := range a.table.Suspects {
-		seen, ok := a.seen[s.Member]
+		seen, ok := a.seen[s]
 		wait := a.cfg.Lease
 		if a.agreed(s) {
 			wait = a.cfg.Confirm
