Keys granted by call: agents decide on calls, the platform makes them

Cause: services with grants by call never received keys; their heartbeats carry none. A grant without an answer counts as possibly held until it has expired, also after a release; a call may reach an instance that restarted under its id; after a broken connection nothing is granted before the next heartbeat. The model has calls that are lost, late or unanswered; the stand-in server grants by call, with faults.

--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -14,6 +14,7 @@
 	UnsupportedLease time.Duration // how long a read of the table covers grants without that support
 	SupportDuration  time.Duration // validity of a witness's support, counted from the request for it
 	MaxHold          time.Duration // longest duration of a grant
+	CallDelay        time.Duration // bound on the time until a call arrives at the server; 0 if grants go with answers
 	DriftPerMille    int           // bound on the drift between two clocks, in 1/1000
 	SuspectAfter     time.Duration // silence of an owner after which a planner suspects it
 	StartupDelay     time.Duration // wait after the agent's start before the first assignment of keys
@@ -71,6 +72,8 @@
 	released        []ReleasedRange // released by the server; kept for the transfer tokens
 	grantRecords    []grantRecord   // ranges that the current instance may hold
 	grantsEnd       ident.Instant   // no grant sent so far is valid after this instant
+	mode            GrantMode
+	calls           callState // used in mode GrantByCall
 	handoffs        []handoff
 	suspicionSeenAt map[Suspicion]ident.Instant  // when this agent first saw each suspicion in the table
 	silentSince     map[ident.Host]ident.Instant // since when each owner that is not alive has been silent
@@ -83,11 +86,13 @@
 // NewAgent returns the agent of a daemon that has just started. It assumes that
 // grants of the daemon's previous process may still be valid for MaxHold.
 func NewAgent(cfg Config, m ident.Member, now ident.Instant) *Agent {
+	inheritedEnd := now.Add(cfg.CallDelay + cfg.withDrift(cfg.MaxHold))
 	return &Agent{
 		cfg:             cfg,
 		member:          m,
 		startedAt:       now,
-		grantsEnd:       now.Add(cfg.withDrift(cfg.MaxHold)),
+		grantsEnd:       inheritedEnd,
+		calls:           callState{inheritedEnd: inheritedEnd},
 		suspicionSeenAt: make(map[Suspicion]ident.Instant),
 		silentSince:     make(map[ident.Host]ident.Instant),
 		support:         newSupportState(),
--- a/internal/core/keyrange/faults_test.go
+++ b/internal/core/keyrange/faults_test.go
@@ -26,16 +26,14 @@
 		h.stoppedUntil = min(until, sim.now.Add(2*time.Second))
 		sim.startDaemon(h)
 	case 5: // the server restarts under its name
-		h.instance.StartedMS++
-		h.holdings, h.released, h.sequence, h.draining = nil, nil, 0, false
+		h.restartServer()
 	case 6:
 		h.draining = true
 	case 7:
 		h.heartbeatsLostUntil = until
 		h.agent.ServerLost()
 	case 8: // power failure: daemon and server restart
-		h.instance.StartedMS++
-		h.holdings, h.released, h.sequence, h.draining = nil, nil, 0, false
+		h.restartServer()
 		h.stoppedUntil = until
 		sim.startDaemon(h)
 	case 9: // some of the other hosts cannot reach this one
@@ -55,8 +53,16 @@
 	}
 }
 
-func runSimulation(t *rapid.T, cfg Config) *simulation {
-	sim := newSimulation(t, rapid.IntRange(2, 5).Draw(t, "hosts"), cfg)
+// restartServer starts the server again under its name. It holds nothing, and the
+// calls to its former process are lost.
+func (h *host) restartServer() {
+	h.instance.StartedMS++
+	h.holdings, h.released, h.sequence, h.draining = nil, nil, 0, false
+	h.calls, h.seenFence = nil, nil
+}
+
+func runSimulation(t *rapid.T, cfg Config, mode GrantMode) *simulation {
+	sim := newSimulation(t, rapid.IntRange(2, 5).Draw(t, "hosts"), cfg, mode)
 	for range rapid.IntRange(1, 8).Draw(t, "faults") {
 		for range rapid.IntRange(1, 60).Draw(t, "calm") {
 			sim.advance()
@@ -67,37 +73,47 @@
 }
 
 func TestNoTwoServersHoldAKey(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { runSimulation(t, testConfig()) })
+	rapid.Check(t, func(t *rapid.T) { runSimulation(t, testConfig(), GrantByHeartbeat) })
+}
+
+func TestNoTwoServersHoldAKeyByCall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runSimulation(t, testConfig(), GrantByCall) })
 }
 
 // After the last fault has ended, every key is held again.
 func TestEveryKeyIsHeldAgain(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		sim := runSimulation(t, testConfig())
-		drained := 0
+	rapid.Check(t, func(t *rapid.T) { checkHeldAgain(t, GrantByHeartbeat) })
+}
+
+func TestEveryKeyIsHeldAgainByCall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkHeldAgain(t, GrantByCall) })
+}
+
+func checkHeldAgain(t *rapid.T, mode GrantMode) {
+	sim := runSimulation(t, testConfig(), mode)
+	drained := 0
+	for _, h := range sim.hosts {
+		if h.draining {
+			drained++
+		}
+	}
+	if drained == len(sim.hosts) {
+		return
+	}
+	sim.faultless = true
+	for range 400 {
+		sim.advance()
+	}
+	for _, k := range probeKeys {
+		held := false
 		for _, h := range sim.hosts {
-			if h.draining {
-				drained++
+			for _, x := range h.holdings {
+				held = held || x.Contains(k)
 			}
 		}
-		if drained == len(sim.hosts) {
-			return
-		}
-		sim.faultless = true
-		for range 400 {
-			sim.advance()
+		if !held {
+			row, ok := sim.store.newest().Find(k)
+			t.Fatalf("nobody holds key %d; row %+v %v, suspects %+v", k, row, ok, sim.store.newest().Suspects)
 		}
-		for _, k := range probeKeys {
-			held := false
-			for _, h := range sim.hosts {
-				for _, x := range h.holdings {
-					held = held || x.Contains(k)
-				}
-			}
-			if !held {
-				row, ok := sim.store.newest().Find(k)
-				t.Fatalf("nobody holds key %d; row %+v %v, suspects %+v", k, row, ok, sim.store.newest().Suspects)
-			}
-		}
-	})
+	}
 }
--- a/internal/core/keyrange/grant.go
+++ b/internal/core/keyrange/grant.go
@@ -56,16 +56,35 @@
 		return nil
 	}
 	a.serverLost, a.heartbeatAt, a.lastSequence, a.heldRanges = false, now, b.Sequence, b.Held
+	a.calls.disconnected = false
 	a.ready, a.draining = !b.Draining, b.Draining
-	a.released = append(a.released, b.Released...)
+	a.recordReleased(b.Released...)
+	if a.mode == GrantByCall {
+		return nil
+	}
 	return a.buildGrant(b.Sequence, now)
 }
 
 // adoptInstance switches to a new instance of the server, which holds nothing. The
-// previous instance has ended, and its grants with it.
+// previous instance has ended, and its grants with it. Calls name no start time, so
+// that one sent before the first heartbeat of an instance that restarted under its id
+// may have reached that instance: such grants count until they expire.
 func (a *Agent) adoptInstance(l roster.Instance) {
 	a.instance, a.lastSequence = l, 0
 	a.grantRecords, a.released, a.heldRanges, a.handoffs = nil, nil, nil, nil
+	a.calls.releases, a.calls.fenced, a.calls.retryAt = nil, nil, 0
+	for i := range a.calls.grants {
+		a.calls.grants[i].status = callUnclear
+	}
+}
+
+// recordReleased keeps the transfer tokens of released ranges, the newest ones if
+// there are too many.
+func (a *Agent) recordReleased(rs ...ReleasedRange) {
+	a.released = append(a.released, rs...)
+	if extra := len(a.released) - maxReleasedRecords; extra > 0 {
+		a.released = a.released[extra:]
+	}
 }
 
 // buildGrant returns the rows that the server may hold, or nil if the lease has
@@ -76,12 +95,7 @@
 	if !a.tableKnown || hold <= 0 {
 		return nil
 	}
-	g := &Grant{Hold: hold}
-	for _, r := range a.table.Rows {
-		if r.Owner == a.selfOwner() {
-			g.Rows = append(g.Rows, a.retainedRows(r)...)
-		}
-	}
+	g := &Grant{Rows: a.wantedRows(), Hold: hold}
 	for i := range a.handoffs {
 		a.handoffs[i].omittedFromGrant = true
 	}
@@ -97,14 +111,7 @@
 // retainedRows returns the parts of a row of this daemon that are not being handed
 // off.
 func (a *Agent) retainedRows(r Row) []Row {
-	parts := []Span{r.Span}
-	for _, g := range a.handoffs {
-		var rest []Span
-		for _, p := range parts {
-			rest = append(rest, p.subtract(g.Span)...)
-		}
-		parts = rest
-	}
+	parts := a.withoutHandoffs(r.Span)
 	rows := make([]Row, 0, len(parts))
 	for _, p := range parts {
 		part := r
@@ -141,6 +148,9 @@
 	if a.instance == (roster.Instance{}) {
 		return false // grants of the daemon's previous process may still be valid
 	}
+	if a.mode == GrantByCall {
+		return a.isReleasedByCall(s, now)
+	}
 	for _, h := range a.heldRanges {
 		if h.Overlaps(s) {
 			return false
@@ -161,6 +171,9 @@
 	if !ok || r.Owner != a.selfOwner() || now > a.grantsEnd {
 		return false
 	}
+	if a.mode == GrantByCall {
+		return a.holdsByCall(k, r.Fence, now)
+	}
 	for _, g := range a.handoffs {
 		if g.omittedFromGrant && g.Contains(k) {
 			return false
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -63,17 +63,19 @@
 
 // reclaimRows moves the rows of an earlier process of this daemon or an earlier
 // instance of its server to the current ones. Rows of the same instance keep their
-// fencing token, because nobody else held the keys in between.
+// fencing token, because nobody else held the keys in between, unless the server
+// refused it.
 func (a *Agent) reclaimRows() *Write {
 	if a.instance.ID == "" || !a.ready {
 		return nil
 	}
 	t, changed := a.table.withoutSuspicions(a.member.Host), false
 	for _, r := range a.table.Rows {
-		if r.Owner.Member.Host != a.member.Host || r.Owner == a.selfOwner() {
+		refused := a.calls.fenced[r.Fence]
+		if r.Owner.Member.Host != a.member.Host || r.Owner == a.selfOwner() && !refused {
 			continue
 		}
-		if r.Owner.Instance != a.instance {
+		if r.Owner.Instance != a.instance || refused {
 			r.Fence, r.TransferToken = fenceAt(a.nextOffset), ""
 		}
 		r.Owner = a.selfOwner()
@@ -124,11 +126,7 @@
 func (a *Agent) withoutHandoffs(s Span) []Span {
 	parts := []Span{s}
 	for _, g := range a.handoffs {
-		var rest []Span
-		for _, p := range parts {
-			rest = append(rest, p.subtract(g.Span)...)
-		}
-		parts = rest
+		parts = subtractAll(parts, g.Span)
 	}
 	return parts
 }
--- a/internal/core/keyrange/world_test.go
+++ b/internal/core/keyrange/world_test.go
@@ -22,7 +22,8 @@
 
 func testConfig() Config {
 	return Config{
-		Lease: 4 * time.Second, MaxHold: 1500 * time.Millisecond, DriftPerMille: 20,
+		CallDelay: maxArrivalSteps * stepInterval,
+		Lease:     4 * time.Second, MaxHold: 1500 * time.Millisecond, DriftPerMille: 20,
 		UnsupportedLease: 1500 * time.Millisecond, SupportDuration: 1500 * time.Millisecond,
 		SuspectAfter: time.Second, StartupDelay: 500 * time.Millisecond, RankDelay: 200 * time.Millisecond, BalanceInterval: time.Second, BalanceCooldown: time.Second,
 	}
@@ -83,6 +84,8 @@
 	released              []ReleasedRange
 	pendingReads          []pendingRead
 	inbox                 []message
+	calls                 []transitCall  // calls on their way to the server or being answered
+	seenFence             map[Key]uint64 // greatest fencing token that the server has seen
 }
 
 // message is a message between two daemons in transit.
@@ -100,6 +103,7 @@
 
 type simulation struct {
 	t              *rapid.T
+	mode           GrantMode
 	cfg            Config
 	now            ident.Instant
 	store          store
@@ -113,8 +117,8 @@
 // probeKeys are the keys that the simulation checks.
 var probeKeys = []Key{0, 1, 9000, 16384, 20000, 30000, 32768, 45000, 50000, 65535}
 
-func newSimulation(t *rapid.T, n int, cfg Config) *simulation {
-	sim := &simulation{t: t, cfg: cfg, now: ident.Instant(time.Hour), lastFence: map[Key]uint64{}, lastHolder: map[Key]ident.Host{}}
+func newSimulation(t *rapid.T, n int, cfg Config, mode GrantMode) *simulation {
+	sim := &simulation{t: t, mode: mode, cfg: cfg, now: ident.Instant(time.Hour), lastFence: map[Key]uint64{}, lastHolder: map[Key]ident.Host{}}
 	for i := range n {
 		h := &host{name: ident.Host(fmt.Sprint("h", i)), instance: roster.Instance{ID: fmt.Sprint("s", i), StartedMS: 1}, unreachableUntil: make(map[ident.Host]ident.Instant)}
 		sim.hosts = append(sim.hosts, h)
@@ -126,6 +130,7 @@
 func (sim *simulation) startDaemon(h *host) {
 	h.incarnation++
 	h.agent = NewAgent(sim.cfg, ident.Member{Host: h.name, Incarnation: h.incarnation}, sim.now)
+	h.agent.SetGrantMode(sim.mode)
 	h.pendingReads = nil
 	h.nextReadAt = sim.now
 }
@@ -162,12 +167,14 @@
 	sim.store.lateWrites = kept
 	for _, h := range sim.hosts {
 		sim.expireHoldings(h)
+		sim.processCalls(h)
 		if h.isRunning(sim.now) {
 			sim.deliverMessages(h)
 			sim.readStore(h)
 			sim.exchangeSupport(h)
 			sim.sendHeartbeat(h)
 			sim.runPlanner(h)
+			sim.sendCalls(h)
 		}
 	}
 	sim.checkSingleHolder()
@@ -273,8 +280,10 @@
 	h.nextHeartbeatAt = sim.now.Add(400 * time.Millisecond)
 	h.sequence++
 	b := Heartbeat{Instance: h.instance, Sequence: h.sequence, Draining: h.draining, Released: h.released}
-	for _, x := range h.holdings {
-		b.Held = append(b.Held, HeldRange{x.Span, x.fence})
+	if sim.mode == GrantByHeartbeat {
+		for _, x := range h.holdings {
+			b.Held = append(b.Held, HeldRange{x.Span, x.fence})
+		}
 	}
 	sent := sim.now
 	g := h.agent.HandleHeartbeat(b, sim.now)
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -44,6 +44,7 @@
 	HealthPath     string
 	MaxConnections int           // to one backend server, from all callers together
 	Sharded        bool          // the service's data is divided by shard key
+	GrantByCall    bool          // its servers receive grants of keys by calls, not in the answers to their heartbeats
 	WarmupTime     time.Duration // time that keys are slow after a move without a transfer token
 }
 
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -157,13 +158,13 @@
 }
 
 // shardedServices returns the sharded services of a routing table, sorted by name.
-func shardedServices(t *routes.Table) []ident.Service {
-	var out []ident.Service
-	for name, s := range t.Services {
+func shardedServices(t *routes.Table) []routes.Service {
+	var out []routes.Service
+	for _, s := range t.Services {
 		if s.Sharded {
-			out = append(out, name)
+			out = append(out, s)
 		}
 	}
-	slices.Sort(out)
+	slices.SortFunc(out, func(a, b routes.Service) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -49,6 +49,10 @@
 	drainPollInterval = 20 * time.Millisecond   // between checks for requests in progress
 )
 
+// callDelay bounds the time from the decision on a grant by call to its arrival at the
+// server, which is on the same host.
+const callDelay = 100 * time.Millisecond
+
 // initialSlots is the number of slots until the backend server reports its own.
 const initialSlots = 1
 
@@ -138,7 +142,7 @@
 	o := d.cfg.Ownership
 	d.ownership = &ownership{
 		cfg: keyrange.Config{
-			Lease: o.Lease, UnsupportedLease: o.Confirm, SupportDuration: o.Support, MaxHold: o.Hold, DriftPerMille: o.DriftPerMille, SuspectAfter: o.SuspectAfter,
+			Lease: o.Lease, UnsupportedLease: o.Confirm, SupportDuration: o.Support, MaxHold: o.Hold, CallDelay: callDelay, DriftPerMille: o.DriftPerMille, SuspectAfter: o.SuspectAfter,
 			StartupDelay: o.Settle, RankDelay: o.Stagger, BalanceInterval: o.BalanceEvery, BalanceCooldown: o.BalanceRest,
 		},
 		self: d.member, clock: bootclock.Clock{}, store: d.adapter.Log, log: d.log, metrics: d.metrics,
@@ -146,7 +150,9 @@
 		sendUpdate: func(to []ident.Host, g tableUpdate) { d.peers.sendTableUpdate(to, g) },
 		pollTime:   d.cfg.Store.PollTime, leasePoll: o.LeasePoll,
 		agents: make(map[ident.Service]*keyrange.Agent), tables: make(map[ident.Service]versionedTable),
-		keysReleased: make(chan struct{}, 1),
+		keysReleased: make(chan struct{}, 1), callsDue: make(chan struct{}, 1),
+		grantCaller: d.adapter.Grants,
+		localServer: func(s ident.Service) (origin.Server, bool) { return d.server.address(s) },
 	}
 }
 
@@ -277,6 +283,7 @@
 	g.Go("speak", d.peers.sendMessages)
 	g.Go("ownership-read", d.ownership.follow)
 	g.Go("ownership-plan", d.ownership.plan)
+	g.Go("ownership-calls", d.ownership.callServer)
 	g.Go("server-watch", d.watchServer)
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/logservice"
 )
 
@@ -22,6 +23,7 @@
 	declined    metric.Int64Counter
 	serviceTime metric.Float64Histogram
 	grants      metric.Int64Counter
+	grantCalls  metric.Int64Counter
 	writes      metric.Int64Counter
 	calls       metric.Int64Counter
 }
@@ -51,6 +53,7 @@
 	out.declined = counter("burdock_declined", "requests that the backend server here did not answer, by kind")
 	out.serviceTime = seconds("burdock_server_seconds", "service time of the backend server here by route")
 	out.grants = counter("burdock_grants", "heartbeats of a server that owns keys, by whether they were answered with a grant")
+	out.grantCalls = counter("burdock_grant_calls", "calls that grant keys to the server here or take them back, by kind and outcome")
 	out.writes = counter("burdock_ownership_writes", "changes of the ownership table by reason and outcome")
 	out.calls = counter("burdock_store_calls", "calls to the log service by kind and outcome")
 	_, err := m.Int64ObservableGauge("burdock_slots_in_use", metric.WithDescription("requests that run on the backend server, and that wait"),
@@ -100,6 +103,12 @@
 	}
 }
 
+func (m *metrics) countGrantCall(kind keyrange.CallKind, outcome keyrange.CallOutcome) {
+	if m != nil {
+		count(m.grantCalls, attribute.Stringer("kind", kind), attribute.Stringer("outcome", outcome))
+	}
+}
+
 func (m *metrics) countWrite(reason string, written bool) {
 	if m != nil {
 		count(m.writes, attribute.String("reason", reason), attribute.Bool("written", written))
--- a/internal/sidecar/ownership.go
+++ b/internal/sidecar/ownership.go
@@ -12,7 +12,9 @@
 	"github.com/burdockfold/burdockfold/internal/codec"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
+	"github.com/burdockfold/burdockfold/internal/core/routes"
 	"github.com/burdockfold/burdockfold/internal/logservice"
+	"github.com/burdockfold/burdockfold/internal/origin"
 )
 
 const (
@@ -38,6 +40,9 @@
 	log          *zap.Logger
 	metrics      *metrics
 	keysReleased chan struct{} // signals that a server released keys, so that the agents plan at once; capacity 1
+	grantCaller  GrantCaller
+	callsDue     chan struct{}                                  // signals that calls to the server may be due; capacity 1
+	localServer  func(ident.Service) (s origin.Server, ok bool) // the server beside the daemon, if it runs the service
 
 	mu            sync.Mutex // guards the fields below
 	agents        map[ident.Service]*keyrange.Agent
@@ -56,15 +61,21 @@
 	endOffset ident.Offset
 }
 
-// addAgents adds an agent for each sharded service that has none yet.
-func (o *ownership) addAgents(sharded []ident.Service) {
+// addAgents adds an agent for each sharded service that has none yet, and sets how the
+// servers receive their grants.
+func (o *ownership) addAgents(sharded []routes.Service) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, s := range sharded {
-		if o.agents[s] == nil {
-			o.agents[s] = keyrange.NewAgent(o.cfg, o.self, o.clock.Now())
+		if o.agents[s.Name] == nil {
+			o.agents[s.Name] = keyrange.NewAgent(o.cfg, o.self, o.clock.Now())
 			o.synced = false // read all tables again, for the new agent
 		}
+		mode := keyrange.GrantByHeartbeat
+		if s.GrantByCall {
+			mode = keyrange.GrantByCall
+		}
+		o.agents[s.Name].SetGrantMode(mode)
 	}
 }
 
@@ -92,19 +103,28 @@
 		return nil
 	}
 	g := a.HandleHeartbeat(keyrange.Heartbeat{Instance: hb.Instance, Sequence: hb.Sequence, Draining: hb.Draining, Held: hb.Held, Released: hb.Released}, now)
+	o.requestCalls()
+	if a.GrantMode() == keyrange.GrantByCall {
+		return nil
+	}
 	o.metrics.countGrant(g != nil)
 	if g == nil {
 		o.log.Info("grant_withheld", zap.String("server", hb.Instance.ID), zap.Int64("sequence", hb.Sequence))
 	}
 	if len(hb.Released) > 0 {
-		select {
-		case o.keysReleased <- struct{}{}:
-		default: // a signal is already pending
-		}
+		o.signalReleased()
 	}
 	return g
 }
 
+// signalReleased makes the agents plan at once.
+func (o *ownership) signalReleased() {
+	select {
+	case o.keysReleased <- struct{}{}:
+	default: // a signal is already pending
+	}
+}
+
 // handleServerLost informs the agent of a service that its server was lost or will stop.
 func (o *ownership) handleServerLost(s ident.Service) {
 	o.mu.Lock()
@@ -246,6 +266,7 @@
 	for s, a := range o.agents {
 		a.ApplyRead(o.tables[s].Table, next, sent, answered)
 	}
+	o.requestCalls()
 }
 
 // replaceIfNewer stores the table of a service and returns true, unless a newer table is
@@ -272,6 +293,7 @@
 		return
 	}
 	a.ApplyPublished(m.Table, m.EndOffset, o.clock.Now())
+	o.requestCalls()
 	o.log.Info("ownership_told", zap.String("service", string(m.Service)), zap.String("peer", string(from)),
 		zap.Uint64("offset", uint64(m.EndOffset-1)), zap.Int("rows", len(m.Table.Rows)))
 }
@@ -316,6 +338,7 @@
 			o.writeTable(ctx, s, a, *w)
 		}
 	}
+	o.requestCalls()
 }
 
 func (o *ownership) services() []ident.Service {
--- a/internal/sidecar/ports.go
+++ b/internal/sidecar/ports.go
@@ -17,6 +17,7 @@
 type Adapter struct {
 	HeaderNames      hop.HeaderNames
 	Log              logservice.KeyedLog // the store of configurations, hosts and ownership tables
+	Grants           GrantCaller         // grants keys to servers that do not receive them with the answers to heartbeats
 	DecodeConfig     func(data []byte) (routes.Config, error)
 	HeartbeatHandler func(ServerPort) fasthttp.RequestHandler        // receives the backend server's messages
 	ReadinessHandler func(ready func() bool) fasthttp.RequestHandler // answers readiness probes
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -159,6 +159,14 @@
 	return origin.Server{Addr: s.addr, ID: s.instance.ID}, s.leaving, !s.lost && !over
 }
 
+// address returns the address and id of the server if it runs a service, whether it
+// takes requests or not.
+func (s *server) address(service ident.Service) (t origin.Server, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return origin.Server{Addr: s.addr, ID: s.instance.ID}, s.instance.ID != "" && s.service == service
+}
+
 // rosterEntry returns the state of the server as published to the other daemons.
 func (s *server) rosterEntry() roster.Server {
 	s.mu.Lock()
--- a/internal/standin/shardserver/server.go
+++ b/internal/standin/shardserver/server.go
@@ -1,7 +1,7 @@
 // Package shardserver is a stand-in for a backend server of the platform, for tests.
 //
 // It announces itself to the daemon on its host by heartbeats and holds the key
-// ranges that the answers grant, for the granted time only. If it is sharded, it
+// ranges that it is granted, in the answers or by calls, for the granted time only. If it is sharded, it
 // refuses requests for keys that it does not hold. It records the requests that it
 // executed. A test can make it drain, lose its keys or stop its heartbeats.
 package shardserver
@@ -26,6 +26,7 @@
 	Sharded           bool
 	HeartbeatInterval time.Duration // time between two heartbeats
 	ServiceTime       time.Duration // time that each request takes
+	GrantByCall       bool          // it receives grants by calls, and its heartbeats list no keys
 }
 
 // Server is the stand-in server. Use New to start one.
@@ -39,9 +40,11 @@
 	mu          sync.Mutex // guards the fields below
 	sequence    int
 	state       string
-	holds       [][3]int64 // from, to, fence
-	heldUntil   time.Time  // end of the last grant
-	freed       [][3]any   // ranges released by the last grant: from, to, transfer token
+	holds       []holding
+	seenFences  []holding // ranges and the fencing tokens with which they were granted by call
+	callFault   CallFault
+	running     map[int]int // number of running requests by shard key
+	freed       [][3]any    // ranges released by the last grant: from, to, transfer token
 	executions  []Execution
 	silent      bool // no heartbeats are sent
 	serviceTime time.Duration
@@ -66,7 +69,7 @@
 	}
 	s := &Server{
 		cfg: cfg, addr: ln.Addr().String(), born: time.Now().UnixMilli(), state: "ready", serviceTime: cfg.ServiceTime,
-		client: &http.Client{Timeout: time.Second}, closed: make(chan struct{}),
+		client: &http.Client{Timeout: time.Second}, running: make(map[int]int), closed: make(chan struct{}),
 	}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.http.Serve(ln) }()
@@ -110,10 +113,18 @@
 func (s *Server) HeldRanges() [][3]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Now().After(s.heldUntil) {
-		return nil
+	return s.heldRows()
+}
+
+// heldRows returns the rows whose grants have not expired. The caller holds s.mu.
+func (s *Server) heldRows() [][3]int64 {
+	var rows [][3]int64
+	for _, h := range s.holds {
+		if !time.Now().After(h.until) {
+			rows = append(rows, h.row)
+		}
 	}
-	return append([][3]int64(nil), s.holds...)
+	return rows
 }
 
 // sendHeartbeats sends heartbeats until the server is closed. After one that made
@@ -142,13 +153,12 @@
 		return false
 	}
 	s.sequence++
-	holds := s.holds
-	if time.Now().After(s.heldUntil) {
-		holds = nil
-	}
 	body := map[string]any{
 		"service": s.cfg.Service, "address": s.addr, "zone": "z", "version": "v1", "slots": 8, "state": s.state,
-		"cold_left_ms": 0, "sequence": s.sequence, "born": s.born, "holds": holds, "freed": s.freed,
+		"cold_left_ms": 0, "sequence": s.sequence, "born": s.born,
+	}
+	if !s.cfg.GrantByCall {
+		body["holds"], body["freed"] = s.heldRows(), s.freed
 	}
 	s.mu.Unlock()
 	sent := time.Now()
@@ -156,7 +166,7 @@
 		Holds  *[][4]any `json:"holds"`
 		HoldMS int64     `json:"hold_ms"`
 	}
-	if err := s.putHeartbeat(body, &answer); err != nil || answer.Holds == nil {
+	if err := s.putHeartbeat(body, &answer); err != nil || answer.Holds == nil || s.cfg.GrantByCall {
 		return false
 	}
 	return s.applyGrant(*answer.Holds, sent.Add(time.Duration(answer.HoldMS)*time.Millisecond))
@@ -189,12 +199,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.holds
-	s.holds, s.heldUntil, s.freed = nil, until, nil
+	s.holds, s.freed = nil, nil
+	var granted [][3]int64
 	for _, r := range rows {
-		s.holds = append(s.holds, [3]int64{int64(r[0].(float64)), int64(r[1].(float64)), int64(r[2].(float64))})
+		row := [3]int64{int64(r[0].(float64)), int64(r[1].(float64)), int64(r[2].(float64))}
+		granted = append(granted, row)
+		s.holds = append(s.holds, holding{row, until})
 	}
 	for _, b := range before {
-		for _, left := range uncoveredParts(b, s.holds) {
+		for _, left := range uncoveredParts(b.row, granted) {
 			s.freed = append(s.freed, [3]any{left[0], left[1], "handover-" + s.cfg.ID})
 			released = true
 		}
@@ -227,6 +240,11 @@
 // serve executes a request, or refuses it with status 421 if it is addressed to
 // another server or its key is not held here.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/burdockfold/grant", "/burdockfold/release":
+		s.serveGrantCall(w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -243,8 +261,12 @@
 		return
 	}
 	var serviceTime time.Duration
-	s.update(func() { s.executions, serviceTime = append(s.executions, execution), s.serviceTime })
+	s.update(func() {
+		s.executions, serviceTime = append(s.executions, execution), s.serviceTime
+		s.running[execution.Key]++
+	})
 	time.Sleep(serviceTime)
+	s.update(func() { s.running[execution.Key]-- })
 	w.Header().Set("X-Server-Signature", "by-"+s.cfg.ID)
 	_, _ = fmt.Fprintf(w, "%s %s %s", s.cfg.ID, r.URL.RequestURI(), body)
 }
