Pings follow the use of a connection; the first assignment waits for expected servers

Cause: at 295 hosts a daemon keeps about 590 connections and pinged each of them every second; the first planner assigned all keys to the few servers that it knew, so that 107 of 117 servers got no request. Host records name the service of the settings; the first assignment waits up to 3 s more for expected servers. Conclusion: a replay with 117 servers of which a planner knows ten fails before and passes after.

--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -18,6 +18,7 @@
 	DriftPerMille    int           // bound on the drift between two clocks, in 1/1000
 	SuspectAfter     time.Duration // silence of an owner after which a planner suspects it
 	StartupDelay     time.Duration // wait after the agent's start before the first assignment of keys
+	CompletionDelay  time.Duration // further wait for servers that are expected and not ready
 	RankDelay        time.Duration // added delay per rank, so that planners do not act at the same time
 	BalanceInterval  time.Duration // minimum time between two balance checks
 
@@ -32,6 +33,7 @@
 	Owner       Owner
 	Ready       bool    // accepts new requests, and its daemon reads the table without delay
 	Alive       bool    // its daemon sent a sign of life recently
+	Expected    bool    // its host is listed for the service
 	Slots       int     // number of requests that the server runs at once
 	Utilization float64 // (slots in use + waiting requests) / slots
 }
--- a/internal/core/keyrange/agent_test.go
+++ b/internal/core/keyrange/agent_test.go
@@ -1,6 +1,7 @@
 package keyrange
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -145,3 +146,38 @@
 	}
 	assert.Equal(t, held, int(MaxKey)+1, "keys that came back are granted")
 }
+
+// Of 117 servers that start at the same time, a planner first knows a few. It assigns the
+// keys when it knows all of them, or when the others took too long.
+func TestFirstAssignmentWaitsForExpectedServers(t *testing.T) {
+	const servers = 117
+	cfg := testConfig()
+	cfg.CompletionDelay = 3 * time.Second
+	start := ident.Instant(time.Hour)
+	self := owner("h000")
+	newAgent := func() *Agent {
+		a := NewAgent(cfg, self.Member, start)
+		a.ApplyRead(Table{}, 0, start, start)
+		a.HandleHeartbeat(Heartbeat{Instance: self.Instance, Sequence: 1}, start)
+		return a
+	}
+	some := func(known int) []Candidate {
+		var cs []Candidate
+		for i := range servers {
+			c := candidate(owner(fmt.Sprintf("h%03d", i)))
+			c.Expected = true
+			c.Ready = i < known
+			cs = append(cs, c)
+		}
+		return cs
+	}
+	settled := start.Add(cfg.StartupDelay)
+	a := newAgent()
+	assert.Assert(t, a.Tick(settled, some(10)) == nil)
+	w := a.Tick(settled.Add(time.Second), some(servers))
+	assert.Assert(t, w != nil)
+	assert.Equal(t, len(w.Table.Rows), servers, "each server holds keys")
+	late := newAgent()
+	assert.Assert(t, late.Tick(settled.Add(cfg.CompletionDelay-1), some(10)) == nil)
+	assert.Assert(t, late.Tick(settled.Add(cfg.CompletionDelay), some(10)) != nil)
+}
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -299,7 +299,7 @@
 	}
 	wait := a.cfg.RankDelay * time.Duration(rank)
 	if len(a.table.Rows) == 0 {
-		wait += max(0, a.startedAt.Add(a.cfg.StartupDelay).Sub(now))
+		wait += max(0, a.firstAssignment(cs).Sub(now))
 	}
 	if now.Sub(a.gapSince) < wait {
 		return nil
@@ -314,6 +314,19 @@
 	return &Write{Table: t, Reason: "unowned"}
 }
 
+// firstAssignment returns when keys are assigned for the first time. All daemons start
+// at the same time, and at many hosts it takes seconds until their servers are known.
+// An assignment to few of them would have to be corrected by a move for each other one.
+func (a *Agent) firstAssignment(cs []Candidate) ident.Instant {
+	due := a.startedAt.Add(a.cfg.StartupDelay)
+	for _, c := range cs {
+		if c.Expected && !(c.Ready && c.Alive) {
+			return due.Add(a.cfg.CompletionDelay)
+		}
+	}
+	return due
+}
+
 // distribute divides a span among the ready candidates that have the fewest keys
 // in relation to their slots, in parts that even out the difference.
 func (a *Agent) distribute(t Table, s Span, cs []Candidate) Table {
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -13,27 +13,28 @@
 
 // Defaults and internal limits of a Mesh.
 const (
-	DefaultDialTimeout   = 2 * time.Second
-	DefaultPingInterval  = 5 * time.Second
-	DefaultPingTimeout   = 15 * time.Second
-	DefaultIdleTime      = 2 * time.Minute
-	DefaultRetryMin      = 50 * time.Millisecond
-	DefaultRetryMax      = 1 * time.Second
-	DefaultWindow        = 1 << 20   // bytes
-	DefaultChunk         = 16 << 10  // bytes
-	DefaultMaxHead       = 256 << 10 // bytes
-	DefaultMaxStreams    = 1024      // for each connection
-	DefaultControlRing   = 256       // messages
-	DefaultDataRing      = 128       // items
-	DefaultFlushTime     = 1 * time.Second
-	defaultUrgentRing    = 1024     // frames
-	defaultPendingRing   = 64       // control messages that wait for a dial
-	maxBatchBytes        = 64 << 10 // of items in one WebSocket message; the last item may exceed it
-	maxQueuedChunks      = 4        // chunks of one stream in the data ring
-	handshakeBytes       = 4 << 10
-	readBufferBytes      = 4 << 10
-	writeBufferBytes     = 32 << 10
-	smallestUsefulWindow = 1 << 10 // bytes
+	DefaultDialTimeout      = 2 * time.Second
+	DefaultPingInterval     = 5 * time.Second
+	DefaultIdlePingInterval = 5 * time.Second
+	DefaultPingTimeout      = 15 * time.Second
+	DefaultIdleTime         = 2 * time.Minute
+	DefaultRetryMin         = 50 * time.Millisecond
+	DefaultRetryMax         = 1 * time.Second
+	DefaultWindow           = 1 << 20   // bytes
+	DefaultChunk            = 16 << 10  // bytes
+	DefaultMaxHead          = 256 << 10 // bytes
+	DefaultMaxStreams       = 1024      // for each connection
+	DefaultControlRing      = 256       // messages
+	DefaultDataRing         = 128       // items
+	DefaultFlushTime        = 1 * time.Second
+	defaultUrgentRing       = 1024     // frames
+	defaultPendingRing      = 64       // control messages that wait for a dial
+	maxBatchBytes           = 64 << 10 // of items in one WebSocket message; the last item may exceed it
+	maxQueuedChunks         = 4        // chunks of one stream in the data ring
+	handshakeBytes          = 4 << 10
+	readBufferBytes         = 4 << 10
+	writeBufferBytes        = 32 << 10
+	smallestUsefulWindow    = 1 << 10 // bytes
 )
 
 // TLSSource provides the TLS settings of both sides. Renewed certificate files
@@ -61,13 +62,14 @@
 	TLS     TLSSource
 	Plain   bool // connect without TLS; TLS must then be nil
 
-	DialTimeout  time.Duration // limit for connecting, TLS, upgrade and hello together
-	PingInterval time.Duration // silence after which the dialing side sends a ping
-	PingTimeout  time.Duration // silence after which a connection is considered dead
-	IdleTime     time.Duration // time without streams or control messages after which a connection is closed
-	RetryMin     time.Duration // first delay after a failed dial
-	RetryMax     time.Duration // longest delay between dials
-	FlushTime    time.Duration // limit for sending the queued frames on Close
+	DialTimeout      time.Duration // limit for connecting, TLS, upgrade and hello together
+	PingInterval     time.Duration // silence after which the dialing side sends a ping
+	PingTimeout      time.Duration // silence after which a connection in use is considered dead
+	IdlePingInterval time.Duration // PingInterval of a connection that has not been used for some time; at least PingInterval
+	IdleTime         time.Duration // time without streams or control messages after which a connection is closed
+	RetryMin         time.Duration // first delay after a failed dial
+	RetryMax         time.Duration // longest delay between dials
+	FlushTime        time.Duration // limit for sending the queued frames on Close
 
 	Window      int // bytes that a peer may send on a stream before it needs a grant
 	Chunk       int // bytes of a body in one frame
@@ -95,7 +97,7 @@
 	if c.TLS != nil && c.Plain {
 		problems = append(problems, errors.New("mesh: both TLS and Plain are set"))
 	}
-	times := min(c.DialTimeout, c.PingInterval, c.PingTimeout, c.IdleTime, c.RetryMin, c.RetryMax, c.FlushTime)
+	times := min(c.DialTimeout, c.PingInterval, c.PingTimeout, c.IdlePingInterval, c.IdleTime, c.RetryMin, c.RetryMax, c.FlushTime)
 	sizes := min(c.Window, c.Chunk, c.MaxHead, c.MaxStreams, c.ControlRing, c.DataRing)
 	if times < 0 || sizes < 0 {
 		problems = append(problems, errors.New("mesh: limits must not be negative"))
@@ -111,6 +113,7 @@
 	setDefault(&c.DialTimeout, DefaultDialTimeout)
 	setDefault(&c.PingInterval, DefaultPingInterval)
 	setDefault(&c.PingTimeout, DefaultPingTimeout)
+	setDefault(&c.IdlePingInterval, max(DefaultIdlePingInterval, c.PingInterval))
 	setDefault(&c.IdleTime, DefaultIdleTime)
 	setDefault(&c.RetryMin, DefaultRetryMin)
 	setDefault(&c.RetryMax, DefaultRetryMax)
--- a/internal/mesh/conn.go
+++ b/internal/mesh/conn.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/fasthttp/websocket"
 	"go.uber.org/zap"
@@ -50,6 +49,7 @@
 	lastRead  atomic.Int64 // time of the last received message, see Mesh.now
 	lastWrite atomic.Int64 // time of the last sent message
 	lastUsed  atomic.Int64 // time of the last control message or removal of a stream
+	pingedAt  atomic.Int64 // time of the first ping since the last received message; zero if there was none
 
 	mu      sync.Mutex // guards the fields below
 	streams map[uint32]*stream
@@ -236,24 +236,3 @@
 	c.lastUsed.Store(c.m.now())
 	return c.control.Put(c.ctx, it)
 }
-
-// keepalive returns an error if the connection is dead or idle, and otherwise
-// sends a ping when one is due. Only the dialing side pings: the ping and its
-// pong keep both sides from timing out.
-func (c *conn) keepalive() error {
-	now := c.m.now()
-	sinceRead := time.Duration(now - c.lastRead.Load())
-	sinceWrite := time.Duration(now - c.lastWrite.Load())
-	sinceUse := time.Duration(now - c.lastUsed.Load())
-	switch {
-	case sinceRead >= c.cfg.PingTimeout:
-		return errPingTimeout
-	case !c.dialed:
-		return nil
-	case sinceUse >= c.cfg.IdleTime && c.streamCount() == 0:
-		return errIdle
-	case max(sinceRead, sinceWrite) >= c.cfg.PingInterval:
-		c.sendEmptyFrame(framePing)
-	}
-	return nil
-}
--- a/internal/mesh/writer.go
+++ b/internal/mesh/writer.go
@@ -14,18 +14,20 @@
 // maxQueuedChunks chunks in the ring, and Go serves the goroutines that wait
 // for a place in the order of their arrival.
 func (c *conn) writeLoop() error {
-	tick := time.NewTicker(c.cfg.PingInterval / 2)
-	defer tick.Stop()
+	check := time.NewTimer(c.cfg.PingInterval / 2)
+	defer check.Stop()
 	for {
 		var it *item
 		select {
 		case it = <-c.urgent.C():
 		case it = <-c.control.C():
 		case it = <-c.data.C():
-		case <-tick.C:
-			if err := c.keepalive(); err != nil {
+		case <-check.C:
+			next, err := c.keepalive()
+			if err != nil {
 				return err
 			}
+			check.Reset(next)
 			continue
 		case <-c.closing:
 			return c.flush()
@@ -36,6 +38,7 @@
 		if err := c.writeBatch(it, c.cfg.PingTimeout); err != nil {
 			return err
 		}
+		check.Reset(c.cfg.PingInterval / 2) // the connection is in use
 	}
 }
 
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -53,6 +53,7 @@
 	DriftPerMille int           `yaml:"drift_per_mille"` // upper bound of a clock's drift, in 1/1000
 	SuspectAfter  time.Duration `yaml:"suspect_after"`   // silence of an owner after which it is suspected
 	Settle        time.Duration `yaml:"settle"`          // time after the start before keys without an owner are assigned
+	SettleMax     time.Duration `yaml:"settle_max"`      // additional time if servers are expected that have not reported yet
 	Stagger       time.Duration `yaml:"stagger"`         // delay between the planners, by rank
 	BalanceEvery  time.Duration `yaml:"balance_every"`   // least time between two checks of the balance
 	BalanceRest   time.Duration `yaml:"balance_rest"`    // time after a move in which neither its sender nor its receiver gives keys away
@@ -87,6 +88,7 @@
 			DriftPerMille: 20,                      // the maximum drift of a backend server's clock
 			SuspectAfter:  1200 * time.Millisecond, // two missed peer heartbeats and the network delay
 			Settle:        2 * time.Second,
+			SettleMax:     3 * time.Second,        // with Settle, well before the callers begin
 			Stagger:       300 * time.Millisecond, // longer than a round trip to the store in another region
 			BalanceEvery:  time.Second,
 			BalanceRest:   2500 * time.Millisecond, // the duration of a move, and as long again to observe its effect
@@ -133,7 +135,7 @@
 		d    time.Duration
 	}{
 		{"store.poll_time", s.Store.PollTime}, {"store.watch_poll", s.Store.WatchPoll}, {"ownership.lease", o.Lease}, {"ownership.confirm", o.Confirm}, {"ownership.support", o.Support}, {"ownership.lease_poll", o.LeasePoll},
-		{"ownership.hold", o.Hold}, {"ownership.suspect_after", o.SuspectAfter}, {"ownership.settle", o.Settle},
+		{"ownership.hold", o.Hold}, {"ownership.suspect_after", o.SuspectAfter}, {"ownership.settle", o.Settle}, {"ownership.settle_max", o.SettleMax},
 		{"ownership.stagger", o.Stagger}, {"ownership.balance_every", o.BalanceEvery}, {"ownership.balance_rest", o.BalanceRest},
 		{"retries.window", s.Retries.Window}, {"drain.server_time", s.Drain.ServerTime}, {"drain.grace_time", s.Drain.GraceTime},
 	} {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -37,9 +37,10 @@
 // Times of the mesh. Pings detect a dead connection before a request on it has used up
 // most of its deadline, and cost a few bytes per second.
 const (
-	meshPingInterval = 1 * time.Second
-	meshPingTimeout  = 2500 * time.Millisecond
-	meshDialTimeout  = 1 * time.Second
+	meshPingInterval     = 1 * time.Second
+	meshPingTimeout      = 2500 * time.Millisecond
+	meshIdlePingInterval = 15 * time.Second
+	meshDialTimeout      = 1 * time.Second
 )
 
 // Times of a graceful shutdown.
@@ -143,7 +144,7 @@
 	d.ownership = &ownership{
 		cfg: keyrange.Config{
 			Lease: o.Lease, UnsupportedLease: o.Confirm, SupportDuration: o.Support, MaxHold: o.Hold, CallDelay: callDelay, DriftPerMille: o.DriftPerMille, SuspectAfter: o.SuspectAfter,
-			StartupDelay: o.Settle, RankDelay: o.Stagger, BalanceInterval: o.BalanceEvery, BalanceCooldown: o.BalanceRest,
+			StartupDelay: o.Settle, CompletionDelay: o.SettleMax, RankDelay: o.Stagger, BalanceInterval: o.BalanceEvery, BalanceCooldown: o.BalanceRest,
 		},
 		self: d.member, clock: bootclock.Clock{}, store: d.adapter.Log, log: d.log, metrics: d.metrics,
 		candidates: func(s ident.Service) []keyrange.Candidate { return d.peers.candidates(s) },
@@ -158,13 +159,14 @@
 
 func (d *Daemon) buildMesh() error {
 	m, err := mesh.New(mesh.Config{
-		Self:         mesh.Peer{Member: d.member, Addr: d.cfg.Listen.Mesh},
-		Cluster:      clusterName,
-		Plain:        true,
-		DialTimeout:  meshDialTimeout,
-		PingInterval: meshPingInterval,
-		PingTimeout:  meshPingTimeout,
-		Logger:       d.log,
+		Self:             mesh.Peer{Member: d.member, Addr: d.cfg.Listen.Mesh},
+		Cluster:          clusterName,
+		Plain:            true,
+		DialTimeout:      meshDialTimeout,
+		PingInterval:     meshPingInterval,
+		PingTimeout:      meshPingTimeout,
+		IdlePingInterval: meshIdlePingInterval,
+		Logger:           d.log,
 	})
 	if err != nil {
 		return fmt.Errorf("sidecar: %w", err)
@@ -176,8 +178,8 @@
 func (d *Daemon) buildPeers() {
 	d.peers = &peers{
 		self: d.member, addr: d.cfg.Listen.Mesh,
-		location: d.location(),
-		clock:    d.clock, store: d.adapter.Log, mesh: d.mesh, server: d.server, gate: d.gate,
+		location: d.location(), service: d.cfg.Service,
+		clock: d.clock, store: d.adapter.Log, mesh: d.mesh, server: d.server, gate: d.gate,
 		ownership: d.ownership, configs: d.configs, log: d.log,
 		pollTime: d.cfg.Store.PollTime, watchPollTime: d.cfg.Store.WatchPoll,
 		helloRequested: make(chan struct{}, 1),
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -32,6 +32,7 @@
 	self           ident.Member
 	addr           string
 	location       ident.Location
+	service        ident.Service // of the server beside this daemon, according to the settings
 	clock          ident.Clock
 	store          logservice.KeyedLog
 	mesh           *mesh.Mesh
@@ -91,7 +92,8 @@
 // the other.
 func (p *peers) register(ctx context.Context) error {
 	retry := newStoreRetrier(initialBackoff, maxConfigBackoff)
-	data, err := codec.Marshal(roster.Entry{Member: p.self, Addr: p.addr, Location: p.location})
+	expected := roster.Server{Service: p.service}
+	data, err := codec.Marshal(roster.Entry{Member: p.self, Addr: p.addr, Location: p.location, Server: expected})
 	if err != nil {
 		return err
 	}
@@ -309,6 +311,7 @@
 			Owner:       keyrange.Owner{Member: q.Member, Instance: q.Server.Instance},
 			Ready:       q.Server.Service == s && q.Server.State == roster.Ready && !q.Leaving && (q.LogCurrent || q.Member == p.self),
 			Alive:       q.Member == p.self || now.Sub(q.LastHeard) < aliveTimeout,
+			Expected:    q.Server.Service == s,
 			Slots:       q.Server.Slots,
 			Utilization: q.Utilization,
 		})
