Daemons of a failure domain share the reads of the ownership stream

Cause: every daemon polled the stream, so that calls to the store grew with daemons times changes; every daemon planned for every service with all daemons as candidates. Change: core/sharedread decides which daemon of a failure domain reads; the others ask it how old its last read is, which bounds the instant of that read from below without comparing clocks, and receive the records that it reads. A daemon plans only for the service of its server, with that service's servers and owners as candidates.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
 	"github.com/burdockfold/burdockfold/internal/core/routes"
+	"github.com/burdockfold/burdockfold/internal/core/sharedread"
 	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/edge"
 	"github.com/burdockfold/burdockfold/internal/hop"
@@ -150,6 +151,8 @@
 		candidates: func(s ident.Service) []keyrange.Candidate { return d.peers.candidates(s) },
 		sendUpdate: func(to []ident.Host, g tableUpdate) { d.peers.sendTableUpdate(to, g) },
 		pollTime:   d.cfg.Store.PollTime, leasePoll: o.LeasePoll,
+		forwardRead: func(to []ident.Host, m readForward) { d.peers.forwardRead(to, m) },
+		follower:    sharedread.NewFollower(sharedread.DefaultConfig(), d.member.Host), followers: make(map[ident.Host]ident.Instant),
 		agents: make(map[ident.Service]*keyrange.Agent), tables: make(map[ident.Service]versionedTable),
 		keysReleased: make(chan struct{}, 1), callsDue: make(chan struct{}, 1),
 		grantCaller: d.adapter.Grants,
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -15,6 +15,9 @@
 	typeSupport       = "s"
 	typeConsent       = "a"
 	typeTableUpdate   = "g"
+	typeReadRequest   = "r"
+	typeReadAnswer    = "w"
+	typeReadForward   = "f"
 )
 
 // hello carries the roster entry of the sender. WantReply asks the receiver to answer
--- a/internal/sidecar/ownership.go
+++ b/internal/sidecar/ownership.go
@@ -13,6 +13,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/routes"
+	"github.com/burdockfold/burdockfold/internal/core/sharedread"
 	"github.com/burdockfold/burdockfold/internal/logservice"
 	"github.com/burdockfold/burdockfold/internal/origin"
 )
@@ -35,6 +36,7 @@
 	store        logservice.KeyedLog
 	candidates   func(ident.Service) []keyrange.Candidate
 	sendUpdate   func([]ident.Host, tableUpdate) // sends a table that was just written to hosts
+	forwardRead  func([]ident.Host, readForward) // sends the records of a read to hosts
 	pollTime     time.Duration                   // maximum wait of a poll if the service here is not sharded
 	leasePoll    time.Duration                   // maximum wait of a poll that renews a lease
 	log          *zap.Logger
@@ -46,11 +48,15 @@
 
 	mu            sync.Mutex // guards the fields below
 	agents        map[ident.Service]*keyrange.Agent
-	tables        map[ident.Service]versionedTable    // newest known tables, from the store or a peer
-	nextOffset    ident.Offset                        // end of the stream at the last read
-	synced        bool                                // all tables have been read since the last agent was added
-	localService  ident.Service                       // service of the server beside the daemon
-	cancelPoll    context.CancelFunc                  // cancels the pending poll
+	tables        map[ident.Service]versionedTable // newest known tables, from the store or a peer
+	nextOffset    ident.Offset                     // end of the stream at the last read
+	synced        bool                             // all tables have been read since the last agent was added
+	localService  ident.Service                    // service of the server beside the daemon
+	cancelPoll    context.CancelFunc               // cancels the pending poll
+	follower      *sharedread.Follower
+	followers     map[ident.Host]ident.Instant        // when each follower last asked for this daemon's reads
+	readSent      ident.Instant                       // a read that ended at nextOffset was sent at this instant or later; zero if unknown
+	readDue       bool                                // a write was refused: this daemon must read by itself
 	heartbeatSeq  uint32                              // sequence number of the last peer heartbeat
 	heartbeatSent [rememberedHeartbeats]ident.Instant // when recent peer heartbeats were sent, by sequence number modulo the length
 }
@@ -157,6 +163,17 @@
 	return o.tables[s].Find(k)
 }
 
+// ownersOf returns the hosts that own keys of a service.
+func (o *ownership) ownersOf(s ident.Service) map[ident.Host]bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make(map[ident.Host]bool)
+	for _, r := range o.tables[s].Rows {
+		out[r.Owner.Member.Host] = true
+	}
+	return out
+}
+
 // keyCount returns how many keys of a service a host owns.
 func (o *ownership) keyCount(s ident.Service, h ident.Host) int {
 	o.mu.Lock()
@@ -165,10 +182,13 @@
 }
 
 // pollWait returns the maximum wait of a poll. It is short if the service here is sharded,
-// because its polls renew the lease.
+// because its polls renew the lease, and shorter if others rely on them.
 func (o *ownership) pollWait() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if len(o.currentFollowers()) > 0 {
+		return min(sharedPoll, o.leasePoll)
+	}
 	if o.agents[o.localService] != nil {
 		return o.leasePoll
 	}
@@ -204,6 +224,10 @@
 	o.mu.Lock()
 	o.cancelPoll = cancel
 	o.mu.Unlock()
+	if o.follows() {
+		sleep(pollCtx, followCheck)
+		return nil
+	}
 	sent := o.clock.Now()
 	ch, err := o.store.Poll(pollCtx, logservice.OwnershipStream, from, wait)
 	if pollCtx.Err() != nil && ctx.Err() == nil {
@@ -243,10 +267,21 @@
 }
 
 // applyEntries applies the entries of a read that was sent and answered at the given
-// instants and reached the offset next. It then passes the tables to the agents.
+// instants and reached the offset next. It then passes the tables to the agents, and the
+// entries to the followers. The instant sent is zero if it is not known.
 func (o *ownership) applyEntries(entries []logservice.KeyedEntry, next ident.Offset, sent, answered ident.Instant) {
+	to, m := o.applyRead(entries, next, sent, answered)
+	if len(to) > 0 {
+		o.forwardRead(to, m)
+	}
+}
+
+// applyRead does the work of applyEntries under the lock. It returns the entries for the
+// followers, and the followers if there are entries that they lack.
+func (o *ownership) applyRead(entries []logservice.KeyedEntry, next ident.Offset, sent, answered ident.Instant) ([]ident.Host, readForward) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	from := o.nextOffset
 	for _, e := range entries {
 		t, err := decodeTable(e.Value)
 		if err != nil {
@@ -259,14 +294,23 @@
 		o.log.Info("ownership_table", zap.String("service", e.Key), zap.Uint64("offset", uint64(e.Offset)),
 			zap.Int("rows", len(t.Rows)), zap.Int("suspects", len(t.Suspects)))
 	}
-	if next < o.nextOffset {
-		return
+	if next < from {
+		return nil, readForward{}
+	}
+	if next > from || sent > o.readSent {
+		o.readSent = sent
 	}
 	o.nextOffset = next
+	o.readDue = false
+	o.follower.CaughtUp()
 	for s, a := range o.agents {
 		a.ApplyRead(o.tables[s].Table, next, sent, answered)
 	}
 	o.requestCalls()
+	if !o.synced || len(entries) == 0 {
+		return nil, readForward{}
+	}
+	return o.currentFollowers(), readForward{From: from, Next: next, Entries: entries}
 }
 
 // replaceIfNewer stores the table of a service and returns true, unless a newer table is
@@ -329,6 +373,9 @@
 // planOnce runs one tick of each agent and writes the tables that they decide on.
 func (o *ownership) planOnce(ctx context.Context) {
 	for _, s := range o.services() {
+		if !o.plansFor(s) {
+			continue
+		}
 		candidates := o.candidates(s)
 		o.mu.Lock()
 		a := o.agents[s]
@@ -341,6 +388,14 @@
 	o.requestCalls()
 }
 
+// plansFor reports whether this daemon takes part in the planning of a service: its server
+// runs the service, or the table still names this host.
+func (o *ownership) plansFor(s ident.Service) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return s == o.localService || o.tables[s].KeyCount(o.self.Host) > 0
+}
+
 func (o *ownership) services() []ident.Service {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -366,8 +421,11 @@
 	answered := o.clock.Now()
 	o.mu.Lock()
 	a.ApplyOutcome(w, outcome, sent, answered)
-	if outcome != keyrange.Written && o.cancelPoll != nil {
-		o.cancelPoll()
+	if outcome != keyrange.Written {
+		o.readDue = true
+		if o.cancelPoll != nil {
+			o.cancelPoll()
+		}
 	}
 	if outcome == keyrange.Written {
 		o.replaceIfNewer(s, w.Table, w.Offset+1)
--- a/internal/sidecar/ownership_test.go
+++ b/internal/sidecar/ownership_test.go
@@ -10,6 +10,7 @@
 	"github.com/burdockfold/burdockfold/internal/codec"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
+	"github.com/burdockfold/burdockfold/internal/core/sharedread"
 	"github.com/burdockfold/burdockfold/internal/logservice"
 )
 
@@ -29,6 +30,7 @@
 func TestOlderTableDoesNotReplaceNewer(t *testing.T) {
 	clock := &manualClock{now: ident.Instant(time.Hour)}
 	o := &ownership{
+		follower: sharedread.NewFollower(sharedread.DefaultConfig(), "h"), followers: map[ident.Host]ident.Instant{},
 		clock: clock, log: zap.NewNop(), synced: true, tables: map[ident.Service]versionedTable{},
 		agents: map[ident.Service]*keyrange.Agent{"s": keyrange.NewAgent(keyrange.Config{}, ident.Member{Host: "h", Incarnation: 1}, clock.now)},
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -152,6 +152,7 @@
 			p.mergeEntry(p.ownEntry())
 			p.sendHello(p.helloIsDue, true)
 			p.sendPeerHeartbeats()
+			p.sendReadRequest()
 			p.sendConsents()
 			p.requestConfig()
 		}
@@ -263,6 +264,21 @@
 		if err = codec.Unmarshal(m.Data, &g); err == nil {
 			p.ownership.handleTableUpdate(from.Host, g)
 		}
+	case typeReadRequest:
+		var r readRequest
+		if err = codec.Unmarshal(m.Data, &r); err == nil {
+			p.handleReadRequest(from, r)
+		}
+	case typeReadAnswer:
+		var a readAnswer
+		if err = codec.Unmarshal(m.Data, &a); err == nil {
+			p.ownership.handleReadAnswer(from.Host, a)
+		}
+	case typeReadForward:
+		var f readForward
+		if err = codec.Unmarshal(m.Data, &f); err == nil {
+			p.ownership.handleReadForward(f)
+		}
 	case typeVersionHint:
 		var h versionHint
 		if err = codec.Unmarshal(m.Data, &h); err == nil {
@@ -298,15 +314,20 @@
 	}
 }
 
-// candidates returns all known daemons as candidates for keys of a service. A candidate
-// is ready if its server runs the service, takes new work, and its daemon reads the
-// ownership tables: otherwise it would not learn that it has received keys.
+// candidates returns the daemons whose servers run a service, and those that still own
+// keys of it, as candidates for its keys. A candidate is ready if its server runs the
+// service, takes new work, and its daemon reads the ownership tables: otherwise it would
+// not learn that it has received keys.
 func (p *peers) candidates(s ident.Service) []keyrange.Candidate {
+	owners := p.ownership.ownersOf(s)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	var out []keyrange.Candidate
 	p.roster.Each(func(q *roster.Peer) {
+		if q.Server.Service != s && !owners[q.Member.Host] {
+			return
+		}
 		out = append(out, keyrange.Candidate{
 			Owner:       keyrange.Owner{Member: q.Member, Instance: q.Server.Instance},
 			Ready:       q.Server.Service == s && q.Server.State == roster.Ready && !q.Leaving && (q.LogCurrent || q.Member == p.self),
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -12,6 +12,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
+	"github.com/burdockfold/burdockfold/internal/core/sharedread"
 )
 
 // manualClock is a clock that a test advances.
@@ -24,6 +25,7 @@
 		clock: clock, log: zap.NewNop(), onChange: func() {}, drainTime: 2500 * time.Millisecond,
 		gate: admitting.NewGate(admission.DefaultConfig(1), clock),
 		ownership: &ownership{
+			follower: sharedread.NewFollower(sharedread.DefaultConfig(), "h"), followers: map[ident.Host]ident.Instant{},
 			clock: clock, log: zap.NewNop(),
 			agents: map[ident.Service]*keyrange.Agent{"s": keyrange.NewAgent(keyrange.Config{}, ident.Member{Host: "h", Incarnation: 1}, clock.now)},
 			tables: map[ident.Service]versionedTable{},
