Relays between failure domains, heartbeats to witnesses, moves only to free slots

Change: above 32 daemons a daemon speaks to its failure domain, and two relays a domain exchange changed entries (core/relay); above 32 members heartbeats go to the witnesses, which tell the members' states on request. Followers receive differences of tables. A server gives load only to servers with free slots, and a writer whose write was refused waits a spread time. A grant of under 100 ms is not sent (the server refuses hold_ms 0).

--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -62,7 +62,9 @@
 	writeInFlight bool          // a write was sent and its outcome is not known yet
 	writeUnclear  bool          // a write at unclearOffset may have been appended or may still be
 	unclearOffset ident.Offset
-	tableStale    bool // a write was refused: the table must be read again before the next one
+	refusals      int           // writes refused since the last one that was not
+	nextWriteAt   ident.Instant // no change that can wait is written before this instant
+	tableStale    bool          // a write was refused: the table must be read again before the next one
 
 	instance        roster.Instance // the server's current instance; zero before its first heartbeat
 	ready           bool
--- a/internal/core/keyrange/balance_test.go
+++ b/internal/core/keyrange/balance_test.go
@@ -1,6 +1,8 @@
 package keyrange
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,3 +89,38 @@
 		}
 	}
 }
+
+// Load pattern: more load than all servers together can serve. The busiest one keeps its
+// keys, because everywhere else requests wait as well.
+func TestNothingMovesWhenAllServersAreOverloaded(t *testing.T) {
+	a, b := owner("a"), owner("b")
+	now := ident.Instant(time.Hour)
+	agent := NewAgent(testConfig(), a.Member, now)
+	agent.ApplyRead(Table{Rows: []Row{{Span: Span{0, MaxKey}, Owner: a, Fence: 1}}}, 1, now, now)
+	agent.HandleHeartbeat(Heartbeat{Instance: a.Instance, Sequence: 1}, now)
+	hotNeighbours(agent, 100, 60)
+	cs := []Candidate{candidate(a), candidate(b)}
+	cs[0].Utilization, cs[1].Utilization = 5, 1.2
+	assert.Assert(t, !agent.handOffHotBuckets(cs))
+	cs[1].Utilization = 0.5
+	assert.Assert(t, agent.handOffHotBuckets(cs))
+}
+
+// Load pattern: 53 servers hand keys off at the same time, and each write replaces the
+// same record. With a delay after refusals, most of the writes are accepted in a second.
+func TestConcurrentWritersSpreadTheirWrites(t *testing.T) {
+	const writers = 53
+	now := ident.Instant(time.Hour)
+	var delays []time.Duration
+	for i := range writers {
+		a := NewAgent(testConfig(), owner(fmt.Sprint("h", i)).Member, now)
+		a.ApplyRead(Table{}, 7, now, now)
+		for range 4 {
+			a.ApplyOutcome(Write{Offset: 7}, Refused, now, now)
+		}
+		assert.Assert(t, a.nextWriteAt >= now && a.nextWriteAt < now.Add(refusalStep<<maxRefusalDoubling))
+		delays = append(delays, a.nextWriteAt.Sub(now))
+	}
+	slices.Sort(delays)
+	assert.Assert(t, delays[writers*3/4]-delays[writers/4] > refusalStep<<(maxRefusalDoubling-2), "%v", delays)
+}
--- a/internal/core/keyrange/call.go
+++ b/internal/core/keyrange/call.go
@@ -21,6 +21,7 @@
 	maxGrantCalls      = 8                      // grants in flight
 	maxReleaseCalls    = 8                      // releases in flight; each may wait for running requests
 	renewalsPerHold    = 3                      // a grant is renewed after this fraction of its duration
+	minCallHold        = 100 * time.Millisecond // a shorter grant is not worth a call
 	callRetryDelay     = 100 * time.Millisecond // between a call without effect and its repetition
 	maxReleasedRecords = 256                    // transfer tokens that the agent remembers
 )
@@ -267,7 +268,7 @@
 func (a *Agent) dueGrants(wanted []Row, now ident.Instant) []Call {
 	left := a.remainingLease(now)
 	hold := min(a.cfg.MaxHold, left-left*time.Duration(a.cfg.DriftPerMille)/1000-a.cfg.CallDelay)
-	if hold <= 0 {
+	if hold < minCallHold {
 		return nil
 	}
 	inFlight := 0
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -35,6 +35,9 @@
 	}
 	a.handOffAll(now, cs)
 	a.planBalance(now, cs)
+	if now < a.nextWriteAt {
+		return nil
+	}
 	if w := a.writeHandoffs(now, cs); w != nil {
 		return w
 	}
@@ -195,19 +198,25 @@
 }
 
 // plannerRank returns the position of this daemon among those that may write
-// changes for other owners, and whether it is one of them.
+// changes for other owners, and whether it is one of them. Witnesses come first,
+// because they receive the heartbeats of all owners.
 func (a *Agent) plannerRank(cs []Candidate) (int, bool) {
-	rank := 0
+	isWitness := func(h ident.Host) bool { return slices.Contains(a.table.Witnesses, h) }
+	self := isWitness(a.member.Host)
+	rank, found := 0, false
 	for _, c := range cs {
 		if !c.Ready || !c.Alive {
 			continue
 		}
-		if c.Owner.Member == a.member {
-			return rank, true
+		host := c.Owner.Member.Host
+		switch {
+		case c.Owner.Member == a.member:
+			found = true
+		case isWitness(host) && !self, isWitness(host) == self && host < a.member.Host:
+			rank++
 		}
-		rank++
 	}
-	return 0, false
+	return rank, found
 }
 
 // trackSilentOwners records since when each owner has been silent.
--- a/internal/core/keyrange/read.go
+++ b/internal/core/keyrange/read.go
@@ -1,6 +1,8 @@
 package keyrange
 
 import (
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -91,14 +93,34 @@
 	a.writeInFlight = false
 	switch o {
 	case Written:
+		a.refusals = 0
 		a.ApplyRead(w.Table, w.Offset+1, sent, answered)
 	case Unclear:
 		a.writeUnclear, a.unclearOffset = true, w.Offset
 	case Refused:
 		a.tableStale = true
+		a.refusals++
+		a.nextWriteAt = answered.Add(a.refusalDelay())
 	}
 }
 
+// Limits of the delay after refused writes.
+const (
+	refusalStep        = 100 * time.Millisecond // about the time from a write to its arrival at the other writers
+	maxRefusalDoubling = 4
+)
+
+// refusalDelay returns how long this agent waits after refused writes before it writes a
+// change that can wait. All writers of a service replace the same record: if each wrote
+// again at once, most of them would be refused again. The delay is spread by a hash, so
+// that the decision depends on the state only.
+func (a *Agent) refusalDelay() time.Duration {
+	spread := refusalStep << min(a.refusals, maxRefusalDoubling)
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s %d %d", a.member.Host, a.nextOffset, a.refusals) // never fails
+	return time.Duration(h.Sum64() % uint64(spread))
+}
+
 // remainingLease returns how long grants may still be valid: UnsupportedLease from
 // the last read of the table, or up to Lease from that read while a majority of
 // the witnesses supports this daemon. Tables without witnesses use Lease alone.
--- a/internal/core/keyrange/world_test.go
+++ b/internal/core/keyrange/world_test.go
@@ -83,6 +83,8 @@
 	holdings              []holding
 	released              []ReleasedRange
 	pendingReads          []pendingRead
+	readNext              ident.Offset  // end of the stream at the last read, own or shared
+	readSent              ident.Instant // a read that ended there was sent at this instant or later
 	inbox                 []message
 	calls                 []transitCall  // calls on their way to the server or being answered
 	seenFence             map[Key]uint64 // greatest fencing token that the server has seen
@@ -132,6 +134,7 @@
 	h.agent = NewAgent(sim.cfg, ident.Member{Host: h.name, Incarnation: h.incarnation}, sim.now)
 	h.agent.SetGrantMode(sim.mode)
 	h.pendingReads = nil
+	h.readNext, h.readSent = 0, 0
 	h.nextReadAt = sim.now
 }
 
@@ -172,6 +175,7 @@
 			sim.deliverMessages(h)
 			sim.readStore(h)
 			sim.exchangeSupport(h)
+			sim.shareRead(h)
 			sim.sendHeartbeat(h)
 			sim.runPlanner(h)
 			sim.sendCalls(h)
@@ -250,6 +254,9 @@
 		r := h.pendingReads[0]
 		h.pendingReads = h.pendingReads[1:]
 		h.agent.ApplyRead(r.table, r.next, r.sent, sim.now)
+		if r.next > h.readNext || r.next == h.readNext && r.sent > h.readSent {
+			h.readNext, h.readSent = r.next, r.sent
+		}
 	}
 	if sim.now < h.nextReadAt || !sim.reachesStore(h) {
 		return
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -137,6 +137,14 @@
 	}
 }
 
+// MarkAliveAt records a sign of life of a process at an instant that may have passed.
+func (r *Roster) MarkAliveAt(m ident.Member, at ident.Instant) {
+	if p := r.peers[m.Host]; p != nil && p.Member == m && at > p.LastHeard {
+		p.LastHeard = at
+		p.UnreachableSince = 0
+	}
+}
+
 // MarkUnreachable records that a call to a process failed.
 func (r *Roster) MarkUnreachable(m ident.Member, now ident.Instant) {
 	if p := r.peers[m.Host]; p != nil && p.Member == m && p.UnreachableSince == 0 {
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -8,16 +8,18 @@
 
 // The types of control messages between daemons, as sent on the wire.
 const (
-	typeHello         = "h"
-	typePeerHeartbeat = "p"
-	typeConfig        = "c"
-	typeVersionHint   = "v"
-	typeSupport       = "s"
-	typeConsent       = "a"
-	typeTableUpdate   = "g"
-	typeReadRequest   = "r"
-	typeReadAnswer    = "w"
-	typeReadForward   = "f"
+	typeHello          = "h"
+	typePeerHeartbeat  = "p"
+	typeConfig         = "c"
+	typeVersionHint    = "v"
+	typeSupport        = "s"
+	typeConsent        = "a"
+	typeTableUpdate    = "g"
+	typeReadRequest    = "r"
+	typeReadAnswer     = "w"
+	typeReadForward    = "f"
+	typeRelayedEntries = "e"
+	typeMemberStates   = "m"
 )
 
 // hello carries the roster entry of the sender. WantReply asks the receiver to answer
@@ -36,6 +38,7 @@
 	Seq         uint32        `codec:"q"`
 	NextOffset  ident.Offset  `codec:"n"` // offset up to which the sender has read the ownership stream
 	LogCurrent  bool          `codec:"c"` // the sender's last read of that stream is recent
+	WantStates  bool          `codec:"w"` // asks for the states of all members
 }
 
 // support is the answer of a witness to a peer heartbeat. It lets an owner go on without
--- a/internal/sidecar/ownership.go
+++ b/internal/sidecar/ownership.go
@@ -49,6 +49,7 @@
 	mu            sync.Mutex // guards the fields below
 	agents        map[ident.Service]*keyrange.Agent
 	tables        map[ident.Service]versionedTable // newest known tables, from the store or a peer
+	readTable     map[ident.Service]versionedTable // tables as last read from the store; followers receive the changes of these
 	nextOffset    ident.Offset                     // end of the stream at the last read
 	synced        bool                             // all tables have been read since the last agent was added
 	localService  ident.Service                    // service of the server beside the daemon
@@ -163,15 +164,15 @@
 	return o.tables[s].Find(k)
 }
 
-// ownersOf returns the hosts that own keys of a service.
-func (o *ownership) ownersOf(s ident.Service) map[ident.Host]bool {
+// ownersOf returns the hosts that own keys of a service, and its witnesses.
+func (o *ownership) ownersOf(s ident.Service) (owners map[ident.Host]bool, witnesses []ident.Host) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	out := make(map[ident.Host]bool)
+	owners = make(map[ident.Host]bool)
 	for _, r := range o.tables[s].Rows {
-		out[r.Owner.Member.Host] = true
+		owners[r.Owner.Member.Host] = true
 	}
-	return out
+	return owners, o.tables[s].Witnesses
 }
 
 // keyCount returns how many keys of a service a host owns.
@@ -268,7 +269,7 @@
 
 // applyEntries applies the entries of a read that was sent and answered at the given
 // instants and reached the offset next. It then passes the tables to the agents, and the
-// entries to the followers. The instant sent is zero if it is not known.
+// changes to the followers.
 func (o *ownership) applyEntries(entries []logservice.KeyedEntry, next ident.Offset, sent, answered ident.Instant) {
 	to, m := o.applyRead(entries, next, sent, answered)
 	if len(to) > 0 {
@@ -282,6 +283,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	from := o.nextOffset
+	var changes []tableChange
 	for _, e := range entries {
 		t, err := decodeTable(e.Value)
 		if err != nil {
@@ -291,13 +293,26 @@
 		if e.Offset < o.nextOffset && o.synced || !o.replaceIfNewer(ident.Service(e.Key), t, e.Offset+1) {
 			continue
 		}
+		before := o.readTable[ident.Service(e.Key)]
+		o.readTable[ident.Service(e.Key)] = versionedTable{t, e.Offset + 1}
+		changes = append(changes, tableChange{Service: ident.Service(e.Key), Base: before.endOffset, EndOffset: e.Offset + 1, Diff: before.Diff(t)})
 		o.log.Info("ownership_table", zap.String("service", e.Key), zap.Uint64("offset", uint64(e.Offset)),
 			zap.Int("rows", len(t.Rows)), zap.Int("suspects", len(t.Suspects)))
 	}
 	if next < from {
 		return nil, readForward{}
 	}
-	if next > from || sent > o.readSent {
+	o.reachOffset(next, sent, answered)
+	if !o.synced || len(entries) == 0 {
+		return nil, readForward{}
+	}
+	return o.currentFollowers(), readForward{From: from, Next: next, Tables: changes}
+}
+
+// reachOffset records that the tables are those at an offset of the stream and passes
+// them to the agents. The caller holds o.mu.
+func (o *ownership) reachOffset(next ident.Offset, sent, answered ident.Instant) {
+	if next > o.nextOffset || sent > o.readSent {
 		o.readSent = sent
 	}
 	o.nextOffset = next
@@ -307,10 +322,6 @@
 		a.ApplyRead(o.tables[s].Table, next, sent, answered)
 	}
 	o.requestCalls()
-	if !o.synced || len(entries) == 0 {
-		return nil, readForward{}
-	}
-	return o.currentFollowers(), readForward{From: from, Next: next, Entries: entries}
 }
 
 // replaceIfNewer stores the table of a service and returns true, unless a newer table is
--- a/internal/sidecar/ownership_test.go
+++ b/internal/sidecar/ownership_test.go
@@ -30,7 +30,7 @@
 func TestOlderTableDoesNotReplaceNewer(t *testing.T) {
 	clock := &manualClock{now: ident.Instant(time.Hour)}
 	o := &ownership{
-		follower: sharedread.NewFollower(sharedread.DefaultConfig(), "h"), followers: map[ident.Host]ident.Instant{},
+		follower: sharedread.NewFollower(sharedread.DefaultConfig(), "h"), followers: map[ident.Host]ident.Instant{}, readTable: map[ident.Service]versionedTable{},
 		clock: clock, log: zap.NewNop(), synced: true, tables: map[ident.Service]versionedTable{},
 		agents: map[ident.Service]*keyrange.Agent{"s": keyrange.NewAgent(keyrange.Config{}, ident.Member{Host: "h", Incarnation: 1}, clock.now)},
 	}
--- a/internal/sidecar/peerheartbeats.go
+++ b/internal/sidecar/peerheartbeats.go
@@ -1,8 +1,6 @@
 package sidecar
 
 import (
-	"slices"
-
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
 )
@@ -31,10 +29,13 @@
 	p.mu.Lock()
 	message := peerHeartbeat{Utilization: float32(p.utilization), Service: s.Service, Seq: seq, NextOffset: next, LogCurrent: p.ownership.tableIsCurrent(s.Service)}
 	p.mu.Unlock()
-	to := p.selectPeers(func(q *roster.Peer) bool {
-		return q.Server.Service == s.Service || slices.Contains(witnesses, q.Member.Host)
-	})
-	for _, q := range to {
+	to := p.heartbeatTargets(s.Service, witnesses)
+	ask := -1
+	if !p.hearsMembers(s.Service, witnesses) {
+		ask = p.chooseMonitor(len(to))
+	}
+	for i, q := range to {
+		message.WantStates = i == ask
 		p.send(q, typePeerHeartbeat, message)
 	}
 }
@@ -60,6 +61,9 @@
 	p.roster.SetLoad(from, float64(q.Utilization), q.LogCurrent)
 	sender, known := p.roster.Get(from.Host)
 	p.mu.Unlock()
+	if known && q.WantStates {
+		p.answerStates(sender.Entry, q.Service)
+	}
 	if known && p.ownership.grantSupport(q.Service, from, q.NextOffset) {
 		p.send(sender.Entry, typeSupport, support{Service: q.Service, Seq: q.Seq})
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -24,6 +24,7 @@
 	greetInterval         = 500 * time.Millisecond  // between hellos to a daemon that has not answered
 	helloRefreshInterval  = 10 * time.Second        // between hellos to any other daemon
 	greetDuration         = 20 * time.Second        // how long greetInterval applies to a daemon that never answers
+	secondListDelay       = 1 * time.Second         // until the list of hosts is read again; longer than daemons differ in their start
 )
 
 // peers keeps the roster of daemons up to date and exchanges control messages with the
@@ -55,6 +56,11 @@
 	hostsListed bool                         // the store's list of hosts was read
 	utilization float64                      // of the server's slots, a moving average
 	catchUp     catchUp
+	relay       relayState
+	firstListed map[ident.Host]bool // the hosts of each failure domain that a new daemon greets, because they are its likely relays
+
+	statesAskedAt ident.Instant // when a monitor was last asked for the states of the members
+	statesAt      ident.Instant // when states last arrived
 }
 
 // requestHello makes sendMessages send a hello to all daemons soon, because the own entry
@@ -104,16 +110,29 @@
 		}
 		retry.waitAfterCall(ctx, err, p.log, "host_register")
 	}
+	p.listHosts(ctx, retry)
+	sleep(ctx, secondListDelay)
+	p.mu.Lock()
+	again := p.usesRelays()
+	p.mu.Unlock()
+	if again {
+		// A daemon that registered later greets few of the others, and not this one.
+		p.listHosts(ctx, retry)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// listHosts reads the store's list of hosts.
+func (p *peers) listHosts(ctx context.Context, retry *storeRetrier) {
 	for ctx.Err() == nil {
 		n, err := p.store.Newest(ctx, logservice.HostStream)
 		retry.waitAfterCall(ctx, err, p.log, "host_list")
 		if err == nil {
 			p.applyHostList(n.Entries)
-			break
+			return
 		}
 	}
-	<-ctx.Done()
-	return nil
 }
 
 // applyHostList adds the hosts of the store's list to the roster.
@@ -132,6 +151,7 @@
 		}
 	}
 	p.hostsListed = true
+	p.firstListed = p.likelyRelays()
 	p.log.Info("hosts_listed", zap.Int("hosts", len(entries)))
 }
 
@@ -146,13 +166,14 @@
 			return nil
 		case <-p.helloRequested:
 			p.mergeEntry(p.ownEntry())
-			p.sendHello(func(roster.Peer, ident.Instant) bool { return true }, false)
+			p.sendHello(func(q roster.Peer, _ ident.Instant) bool { return p.speaksTo(&q) }, false)
 		case <-ticker.C:
 			p.sampleUtilization()
 			p.mergeEntry(p.ownEntry())
 			p.sendHello(p.helloIsDue, true)
 			p.sendPeerHeartbeats()
 			p.sendReadRequest()
+			p.relayEntries()
 			p.sendConsents()
 			p.requestConfig()
 		}
@@ -171,6 +192,9 @@
 // and for any other peer, the interval is helloRefreshInterval.
 func (p *peers) helloIsDue(q roster.Peer, now ident.Instant) bool {
 	since := now.Sub(p.greetedAt[q.Member.Host])
+	if !p.speaksTo(&q) && (q.LastHeard > 0 || !p.firstListed[q.Member.Host] && now.Sub(p.foundAt[q.Member.Host]) < directGreetDelay) {
+		return false
+	}
 	if q.LastHeard == 0 {
 		return since >= greetInterval && now.Sub(p.foundAt[q.Member.Host]) < greetDuration || since >= helloRefreshInterval
 	}
@@ -274,6 +298,16 @@
 		if err = codec.Unmarshal(m.Data, &a); err == nil {
 			p.ownership.handleReadAnswer(from.Host, a)
 		}
+	case typeRelayedEntries:
+		var r relayedEntries
+		if err = codec.Unmarshal(m.Data, &r); err == nil {
+			p.handleRelayedEntries(from, r)
+		}
+	case typeMemberStates:
+		var s memberStates
+		if err = codec.Unmarshal(m.Data, &s); err == nil {
+			p.handleMemberStates(s)
+		}
 	case typeReadForward:
 		var f readForward
 		if err = codec.Unmarshal(m.Data, &f); err == nil {
@@ -300,8 +334,7 @@
 	changed := p.roster.Merge(e, p.clock.Now())
 	p.mu.Unlock()
 	if changed && (!known || old.Member != e.Member || old.Server != e.Server || old.Leaving != e.Leaving) {
-		p.log.Info("peer_state", zap.Stringer("peer", e.Member), zap.Uint64("seq", e.Seq), zap.String("service", string(e.Server.Service)),
-			zap.String("server", e.Server.Instance.ID), zap.Uint8("state", uint8(e.Server.State)), zap.Bool("leaving", e.Leaving))
+		p.logPeerState(e)
 	}
 	if h.WantReply || !known || old.Member != e.Member {
 		p.send(e, typeHello, hello{Entry: p.ownEntry()})
@@ -314,12 +347,18 @@
 	}
 }
 
+func (p *peers) logPeerState(e roster.Entry) {
+	p.log.Info("peer_state", zap.Stringer("peer", e.Member), zap.Uint64("seq", e.Seq), zap.String("service", string(e.Server.Service)),
+		zap.String("server", e.Server.Instance.ID), zap.Uint8("state", uint8(e.Server.State)), zap.Bool("leaving", e.Leaving))
+}
+
 // candidates returns the daemons whose servers run a service, and those that still own
 // keys of it, as candidates for its keys. A candidate is ready if its server runs the
 // service, takes new work, and its daemon reads the ownership tables: otherwise it would
 // not learn that it has received keys.
 func (p *peers) candidates(s ident.Service) []keyrange.Candidate {
-	owners := p.ownership.ownersOf(s)
+	owners, witnesses := p.ownership.ownersOf(s)
+	direct := p.hearsMembers(s, witnesses)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -331,7 +370,7 @@
 		out = append(out, keyrange.Candidate{
 			Owner:       keyrange.Owner{Member: q.Member, Instance: q.Server.Instance},
 			Ready:       q.Server.Service == s && q.Server.State == roster.Ready && !q.Leaving && (q.LogCurrent || q.Member == p.self),
-			Alive:       q.Member == p.self || now.Sub(q.LastHeard) < aliveTimeout,
+			Alive:       p.isAlive(q, direct, now),
 			Expected:    q.Server.Service == s,
 			Slots:       q.Server.Slots,
 			Utilization: q.Utilization,
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -25,7 +25,7 @@
 		clock: clock, log: zap.NewNop(), onChange: func() {}, drainTime: 2500 * time.Millisecond,
 		gate: admitting.NewGate(admission.DefaultConfig(1), clock),
 		ownership: &ownership{
-			follower: sharedread.NewFollower(sharedread.DefaultConfig(), "h"), followers: map[ident.Host]ident.Instant{},
+			follower: sharedread.NewFollower(sharedread.DefaultConfig(), "h"), followers: map[ident.Host]ident.Instant{}, readTable: map[ident.Service]versionedTable{},
 			clock: clock, log: zap.NewNop(),
 			agents: map[ident.Service]*keyrange.Agent{"s": keyrange.NewAgent(keyrange.Config{}, ident.Member{Host: "h", Incarnation: 1}, clock.now)},
 			tables: map[ident.Service]versionedTable{},
--- a/internal/sidecar/sharedreads.go
+++ b/internal/sidecar/sharedreads.go
@@ -3,10 +3,12 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
 	"github.com/burdockfold/burdockfold/internal/core/sharedread"
-	"github.com/burdockfold/burdockfold/internal/logservice"
 )
 
 const (
@@ -31,11 +33,19 @@
 	AgeMS int64        `codec:"a"` // time from the sending of that read to this answer, in milliseconds
 }
 
-// readForward carries the records of a read of the ownership stream to a follower.
+// readForward carries what a read of the ownership stream changed to a follower.
 type readForward struct {
-	From    ident.Offset            `codec:"f"` // where the read began
-	Next    ident.Offset            `codec:"n"` // end of the stream at the read
-	Entries []logservice.KeyedEntry `codec:"e"`
+	From   ident.Offset  `codec:"f"` // where the read began
+	Next   ident.Offset  `codec:"n"` // end of the stream at the read
+	Tables []tableChange `codec:"e"`
+}
+
+// tableChange is the change of one service's table by a read.
+type tableChange struct {
+	Service   ident.Service      `codec:"s"`
+	Base      ident.Offset       `codec:"b"` // EndOffset of the table that it changes; zero if there was none
+	EndOffset ident.Offset       `codec:"n"` // end of the stream right after the table
+	Diff      keyrange.TableDiff `codec:"d"`
 }
 
 // startReadRequest returns the daemon to ask for its last read and the request. It
@@ -84,12 +94,27 @@
 // records before them are missing here; the follower then reads by itself.
 func (o *ownership) handleReadForward(m readForward) {
 	o.mu.Lock()
-	follows := o.synced && m.From == o.nextOffset && m.Next > m.From
-	o.mu.Unlock()
-	if follows {
-		// The source's answers renew the lease; when it sent this read is not known here.
-		o.applyEntries(m.Entries, m.Next, 0, o.clock.Now())
+	defer o.mu.Unlock()
+	if !o.synced || m.From != o.nextOffset || m.Next <= m.From {
+		return
+	}
+	for _, c := range m.Tables {
+		if o.tables[c.Service].endOffset >= c.EndOffset {
+			continue // received from its writer
+		}
+		if o.tables[c.Service].endOffset != c.Base {
+			return // a change before it did not arrive; this daemon will read by itself
+		}
+		t, err := o.tables[c.Service].Apply(c.Diff)
+		if err != nil {
+			o.log.Warn("ownership_forward_refused", zap.String("service", string(c.Service)),
+				zap.Uint64("offset", uint64(c.EndOffset-1)), zap.Error(err))
+			return
+		}
+		o.tables[c.Service] = versionedTable{t, c.EndOffset}
 	}
+	// The source's answers renew the lease; when it sent this read is not known here.
+	o.reachOffset(m.Next, 0, o.clock.Now())
 }
 
 // currentFollowers returns the hosts that asked for this daemon's reads recently. The
