Answers without end are refused, and a panic ends one request, duty or connection

Cause: an answer without a length, or chunked, was cut at 128 MiB and handed on as a complete success; announced lengths were allocated at once, for answers and for bodies of peers; a panic in a request handler or a duty ended the whole process. Duties restart after a panic, which is logged with its stack and counted; handlers of callers, peers, heartbeats and streams answer their own request with a failure whose outcome is open. Conclusion: the watcher of callers sleeps while there are no calls.

--- a/internal/connwatch/watch.go
+++ b/internal/connwatch/watch.go
@@ -19,6 +19,8 @@
 type Watcher struct {
 	interval time.Duration
 
+	added chan struct{} // signals that there is a call to watch; capacity 1
+
 	mu    sync.Mutex // guards calls and seenBefore of each call
 	calls map[*Call]struct{}
 }
@@ -32,7 +34,7 @@
 
 // New returns a watcher that examines the calls once per interval.
 func New(interval time.Duration) *Watcher {
-	return &Watcher{interval: interval, calls: make(map[*Call]struct{})}
+	return &Watcher{interval: interval, added: make(chan struct{}, 1), calls: make(map[*Call]struct{})}
 }
 
 // Add starts to watch the connection of a call. The watcher calls cancel, perhaps
@@ -42,6 +44,10 @@
 	w.mu.Lock()
 	w.calls[call] = struct{}{}
 	w.mu.Unlock()
+	select {
+	case w.added <- struct{}{}:
+	default: // a signal is already pending
+	}
 	return call
 }
 
@@ -52,7 +58,8 @@
 	w.mu.Unlock()
 }
 
-// Run checks the calls once per interval until ctx ends. It always returns nil.
+// Run checks the calls once per interval until ctx ends, and sleeps while there are none.
+// It always returns nil.
 func (w *Watcher) Run(ctx context.Context) error {
 	ticker := time.NewTicker(w.interval)
 	defer ticker.Stop()
@@ -61,14 +68,21 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			w.cancelAbandoned()
+		}
+		if w.cancelAbandoned() > 0 {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.added:
 		}
 	}
 }
 
 // cancelAbandoned cancels the calls whose caller has closed the connection, except
-// those added since the previous check.
-func (w *Watcher) cancelAbandoned() {
+// those added since the previous check. It returns the number of calls.
+func (w *Watcher) cancelAbandoned() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for c := range w.calls {
@@ -77,6 +91,7 @@
 		}
 		c.seenBefore = true
 	}
+	return len(w.calls)
 }
 
 // PeerClosed reports whether the peer has closed the connection or its sending side.
--- a/internal/duty/group.go
+++ b/internal/duty/group.go
@@ -6,7 +6,6 @@
 	"sync"
 
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/panics"
 )
 
 // Func is the function of a duty. It must return when ctx ends. If it returns an error
@@ -35,11 +34,9 @@
 // error that the duty returns after the group's context has ended is ignored.
 func (g *Group) Go(name string, f Func) {
 	g.wg.Go(func() {
-		var catcher panics.Catcher
 		var err error
-		catcher.Try(func() { err = f(g.ctx) })
-		if r := catcher.Recovered(); r != nil {
-			err = r.AsError()
+		if panicked := Contain(func() { err = f(g.ctx) }); panicked != nil {
+			err = panicked
 		}
 		if err != nil && g.ctx.Err() == nil {
 			g.failWith(fmt.Errorf("duty %s: %w", name, err))
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -14,6 +14,7 @@
 	"github.com/burdockfold/burdockfold/internal/connwatch"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/routes"
+	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 	"github.com/burdockfold/burdockfold/internal/hop"
 	"github.com/burdockfold/burdockfold/internal/httpconn"
@@ -60,7 +61,7 @@
 		connWatcher: connwatch.New(watchInterval),
 	}
 	s.http = &fasthttp.Server{
-		Handler:                       s.handle,
+		Handler:                       s.handleContained,
 		ReadBufferSize:                maxHeaderBytes,
 		MaxRequestBodySize:            maxBodyBytes,
 		ReadTimeout:                   readTimeout,
@@ -97,6 +98,20 @@
 // progress until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
+// handleContained serves one request. A panic fails this request only; whether it has
+// run is then not known.
+func (s *Server) handleContained(ctx *fasthttp.RequestCtx) {
+	err := duty.Contain(func() { s.handle(ctx) })
+	if err == nil {
+		return
+	}
+	r := &hop.Request{ID: headerValue(&ctx.Request.Header, s.headerNames.RequestID)}
+	s.log.Error("request_panicked", zap.String("request_id", r.ID), zap.Error(err))
+	ctx.Response.Reset()
+	ctx.SetConnectionClose()
+	s.writeFailure(ctx, r, errkind.New(errkind.Internal, "a panic while the request was served"))
+}
+
 // handle serves one request whose header and body have been read.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	s.openRequests.Add(1)
@@ -113,8 +128,8 @@
 	callCtx, cancel := context.WithTimeout(context.Background(), r.TimeLeft(arrived))
 	defer cancel()
 	watched := s.connWatcher.Add(ctx.Conn(), cancel)
+	defer s.connWatcher.Remove(watched)
 	a := s.dispatcher.Serve(callCtx, r, route)
-	s.connWatcher.Remove(watched)
 	if a.Failure != nil {
 		s.writeFailure(ctx, r, a.Failure)
 		return
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -9,13 +9,15 @@
 	"go.uber.org/zap"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 	"github.com/burdockfold/burdockfold/internal/forward"
 	"github.com/burdockfold/burdockfold/internal/mesh"
 )
 
-// maxBodyBytes limits the size of a body that a peer announces.
-const maxBodyBytes = 128 << 20
+// maxBodyBytes limits the size of a body that a peer announces. It is the highest body
+// limit that operators can configure.
+const maxBodyBytes = 64 << 20
 
 // Client sends requests to other daemons.
 type Client struct {
@@ -66,14 +68,19 @@
 // readBody reads a body of size bytes. It returns an error if size exceeds
 // maxBodyBytes or the body ends early.
 func readBody(r io.Reader, size int) ([]byte, error) {
-	if size > maxBodyBytes {
+	if size < 0 || size > maxBodyBytes {
 		return nil, fmt.Errorf("hop: body of %d bytes", size)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	var body bytes.Buffer
+	body.Grow(min(size, inlineBytes)) // more only as bytes arrive: the size is the peer's word
+	n, err := body.ReadFrom(io.LimitReader(r, int64(size)))
+	if err == nil && n < int64(size) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return nil, fmt.Errorf("hop: body: %w", err)
 	}
-	return body, nil
+	return body.Bytes(), nil
 }
 
 // Server serves requests from other daemons. It implements mesh.StreamHandler.
@@ -111,5 +118,10 @@
 	if err != nil {
 		return FailedAnswer(&errkind.Error{Kind: errkind.PeerProtocol, Truth: errkind.NotRun, Detail: err.Error(), Err: err})
 	}
-	return s.next.Serve(ctx, r)
+	var a *Answer
+	if err := duty.Contain(func() { a = s.next.Serve(ctx, r) }); err != nil {
+		s.log.Error("request_panicked", zap.String("request_id", r.ID), zap.Error(err))
+		return &Answer{Failure: errkind.New(errkind.Internal, "a panic while the request was served"), ReachedBackend: true}
+	}
+	return a
 }
--- a/internal/mesh/workers.go
+++ b/internal/mesh/workers.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 
+	"go.uber.org/zap"
+
 	"github.com/burdockfold/burdockfold/internal/duty"
 )
 
@@ -40,7 +42,9 @@
 // or ctx ends.
 func (w *workerPool) run(ctx context.Context, ss *serverStream) error {
 	for {
-		ss.serve()
+		if err := duty.Contain(ss.serve); err != nil { // serve has reset the stream
+			ss.c.m.log.Error("mesh_panic", zap.String("duty", "stream"), zap.Stringer("peer", ss.c.peer), zap.Error(err))
+		}
 		if w.idleCount.Add(1) > maxIdleWorkers {
 			w.idleCount.Add(-1)
 			return nil
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -1,10 +1,8 @@
 package origin
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"strconv"
@@ -23,8 +21,8 @@
 )
 
 const (
-	maxAnswerBytes  = 128 << 20 // limit of the body of an answer
-	maxStaleAnswers = 3         // answers read on one connection in search of the request's own
+	maxStaleAnswers  = 3  // answers read on one connection in search of the request's own
+	maxInformational = 16 // informational answers read before the final one
 
 	// idleMargin is subtracted from the idle time that the server announces, so that
 	// the client does not send a request while the server closes the connection.
@@ -45,6 +43,8 @@
 	clock ident.Clock
 	limit int // maximum number of connections in use at once
 
+	buffered atomic.Int64 // bytes of long answers that are being read
+
 	mu     sync.Mutex // guards pool and target
 	pool   *httpconn.Pool
 	target Server // server that the pool's connections lead to
@@ -101,7 +101,7 @@
 	case err != nil:
 		return hop.FailedAnswer(dialError(err)), false
 	}
-	x := &exchange{names: &c.names, conn: conn, req: r, target: to}
+	x := &exchange{names: &c.names, conn: conn, req: r, target: to, buffered: &c.buffered}
 	stopCancel := context.AfterFunc(ctx, func() {
 		x.canceled.Store(true)
 		_ = conn.SetDeadline(time.Unix(1, 0))
@@ -132,7 +132,8 @@
 	conn     *httpconn.Conn
 	req      *hop.Request
 	target   Server
-	canceled atomic.Bool // the request's context ended
+	buffered *atomic.Int64 // see Client.buffered
+	canceled atomic.Bool   // the request's context ended
 }
 
 // run sends the request and reads its answer. keep reports whether the connection
@@ -277,7 +278,7 @@
 
 // readHeader reads the header of a final answer and skips informational (1xx) ones.
 func (x *exchange) readHeader(h *fasthttp.ResponseHeader) error {
-	for {
+	for range maxInformational {
 		if err := h.Read(x.conn.R); err != nil {
 			return err
 		}
@@ -285,6 +286,7 @@
 			return nil
 		}
 	}
+	return errors.New("origin: only informational answers came")
 }
 
 // namesOtherRequest reports whether an answer carries the id of another request.
@@ -332,17 +334,8 @@
 	if err != nil {
 		return nil, false, err
 	}
-	if n > maxAnswerBytes {
-		return nil, false, errors.New("origin: answer is too long")
-	}
-	var buf bytes.Buffer
-	if n > 0 {
-		buf.Grow(int(n))
-	}
-	if _, err := buf.ReadFrom(io.LimitReader(r, maxAnswerBytes)); err != nil {
-		return nil, false, err
-	}
-	return buf.Bytes(), keep, nil
+	body, err = readWhole(r, n, x.buffered)
+	return body, keep && err == nil, err
 }
 
 // idleLimit returns how long the client may keep a connection idle, given the
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -270,27 +270,45 @@
 
 // startDuties starts the duties of the daemon in the group g.
 func (d *Daemon) startDuties(g *duty.Group, p *listeners) {
+	start := func(name string, f duty.Func) { g.GoContained(name, f, d.reportPanic) }
 	handlers := map[net.Listener]fasthttp.RequestHandler{
 		p.local:   d.adapter.HeartbeatHandler(d.server),
 		p.ready:   d.adapter.ReadinessHandler(d.isReady),
 		p.metrics: fasthttpadaptor.NewFastHTTPHandler(d.telemetry.MetricsHandler()),
 	}
 	for ln, h := range handlers {
-		s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, NoDefaultDate: true, ReadBufferSize: 4 << 10, IdleTimeout: time.Minute}
+		s := &fasthttp.Server{Handler: d.containHandler(h), NoDefaultServerHeader: true, NoDefaultDate: true, ReadBufferSize: 4 << 10, IdleTimeout: time.Minute}
 		p.http = append(p.http, s)
-		g.Go("port "+ln.Addr().String(), func(context.Context) error { return s.Serve(ln) })
+		start("port "+ln.Addr().String(), func(context.Context) error { return s.Serve(ln) })
+	}
+	start("callers", func(context.Context) error { return d.edge.Serve(p.caller) })
+	start("mesh", func(context.Context) error { return d.mesh.Serve(p.mesh) })
+	start("caller-watch", d.edge.WatchCallers)
+	start("slots", d.gate.Run)
+	start("config", d.configs.follow)
+	start("register", d.peers.register)
+	start("speak", d.peers.sendMessages)
+	start("ownership-read", d.ownership.follow)
+	start("ownership-plan", d.ownership.plan)
+	start("ownership-calls", d.ownership.callServer)
+	start("server-watch", d.watchServer)
+}
+
+// reportPanic logs and counts the panic of a duty, which is then started again.
+func (d *Daemon) reportPanic(name string, err error) {
+	d.metrics.countPanic(name)
+	d.log.Error("duty_panicked", zap.String("duty", name), zap.Error(err))
+}
+
+// containHandler returns a handler that answers 500 to a call whose handler panics.
+func (d *Daemon) containHandler(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if err := duty.Contain(func() { h(ctx) }); err != nil {
+			d.reportPanic("call", err)
+			ctx.Response.Reset()
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		}
 	}
-	g.Go("callers", func(context.Context) error { return d.edge.Serve(p.caller) })
-	g.Go("mesh", func(context.Context) error { return d.mesh.Serve(p.mesh) })
-	g.Go("caller-watch", d.edge.WatchCallers)
-	g.Go("slots", d.gate.Run)
-	g.Go("config", d.configs.follow)
-	g.Go("register", d.peers.register)
-	g.Go("speak", d.peers.sendMessages)
-	g.Go("ownership-read", d.ownership.follow)
-	g.Go("ownership-plan", d.ownership.plan)
-	g.Go("ownership-calls", d.ownership.callServer)
-	g.Go("server-watch", d.watchServer)
 }
 
 // watchServer is the duty that detects a backend server which sends no heartbeats.
--- a/internal/sidecar/grantcalls.go
+++ b/internal/sidecar/grantcalls.go
@@ -10,6 +10,7 @@
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
+	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/origin"
 )
 
@@ -89,20 +90,17 @@
 	var token string
 	var err error
 	started := o.clock.Now()
-	if c.Kind == keyrange.CallRelease {
-		token, err = o.grantCaller.Release(to, c, max(c.Timeout, grantCallTimeout))
-	} else {
-		err = o.grantCaller.Grant(to, c, grantCallTimeout)
-	}
+	panicked := duty.Contain(func() {
+		if c.Kind == keyrange.CallRelease {
+			token, err = o.grantCaller.Release(to, c, max(c.Timeout, grantCallTimeout))
+		} else {
+			err = o.grantCaller.Grant(to, c, grantCallTimeout)
+		}
+	})
+	err = errors.Join(err, panicked)
 	outcome := callOutcome(err)
 	now := o.clock.Now()
-	o.mu.Lock()
-	a := o.agents[s]
-	a.ApplyCallOutcome(c, outcome, token, now)
-	if errors.Is(err, ErrDisconnected) {
-		a.ServerDisconnected()
-	}
-	o.mu.Unlock()
+	o.applyCallOutcome(s, c, outcome, token, errors.Is(err, ErrDisconnected), now)
 	o.metrics.countGrantCall(c.Kind, outcome)
 	o.logCall(s, c, outcome, now.Sub(started), err)
 	if c.Kind == keyrange.CallRelease && outcome == keyrange.CallDone {
@@ -111,6 +109,16 @@
 	o.requestCalls()
 }
 
+func (o *ownership) applyCallOutcome(s ident.Service, c keyrange.Call, outcome keyrange.CallOutcome, token string, disconnected bool, now ident.Instant) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a := o.agents[s]
+	a.ApplyCallOutcome(c, outcome, token, now)
+	if disconnected {
+		a.ServerDisconnected()
+	}
+}
+
 // logCall logs releases, and grants that were not confirmed. Confirmed grants are
 // renewed about once a second and are only counted.
 func (o *ownership) logCall(s ident.Service, c keyrange.Call, outcome keyrange.CallOutcome, took time.Duration, err error) {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -24,6 +24,7 @@
 	serviceTime metric.Float64Histogram
 	grants      metric.Int64Counter
 	grantCalls  metric.Int64Counter
+	panics      metric.Int64Counter
 	writes      metric.Int64Counter
 	calls       metric.Int64Counter
 }
@@ -54,6 +55,7 @@
 	out.serviceTime = seconds("burdock_server_seconds", "service time of the backend server here by route")
 	out.grants = counter("burdock_grants", "heartbeats of a server that owns keys, by whether they were answered with a grant")
 	out.grantCalls = counter("burdock_grant_calls", "calls that grant keys to the server here or take them back, by kind and outcome")
+	out.panics = counter("burdock_panics", "panics by the duty in which they happened, which was then started again")
 	out.writes = counter("burdock_ownership_writes", "changes of the ownership table by reason and outcome")
 	out.calls = counter("burdock_store_calls", "calls to the log service by kind and outcome")
 	_, err := m.Int64ObservableGauge("burdock_slots_in_use", metric.WithDescription("requests that run on the backend server, and that wait"),
@@ -109,6 +111,12 @@
 	}
 }
 
+func (m *metrics) countPanic(duty string) {
+	if m != nil {
+		count(m.panics, attribute.String("duty", duty))
+	}
+}
+
 func (m *metrics) countWrite(reason string, written bool) {
 	if m != nil {
 		count(m.writes, attribute.String("reason", reason), attribute.Bool("written", written))
--- a/internal/sidecar/ownership.go
+++ b/internal/sidecar/ownership.go
@@ -387,18 +387,21 @@
 		if !o.plansFor(s) {
 			continue
 		}
-		candidates := o.candidates(s)
-		o.mu.Lock()
-		a := o.agents[s]
-		w := a.Tick(o.clock.Now(), candidates)
-		o.mu.Unlock()
-		if w != nil {
+		if a, w := o.tick(s, o.candidates(s)); w != nil {
 			o.writeTable(ctx, s, a, *w)
 		}
 	}
 	o.requestCalls()
 }
 
+// tick runs one tick of the agent of a service.
+func (o *ownership) tick(s ident.Service, cs []keyrange.Candidate) (*keyrange.Agent, *keyrange.Write) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a := o.agents[s]
+	return a, a.Tick(o.clock.Now(), cs)
+}
+
 // plansFor reports whether this daemon takes part in the planning of a service: its server
 // runs the service, or the table still names this host.
 func (o *ownership) plansFor(s ident.Service) bool {
@@ -429,19 +432,7 @@
 		cancel()
 		outcome = outcomeOf(err)
 	}
-	answered := o.clock.Now()
-	o.mu.Lock()
-	a.ApplyOutcome(w, outcome, sent, answered)
-	if outcome != keyrange.Written {
-		o.readDue = true
-		if o.cancelPoll != nil {
-			o.cancelPoll()
-		}
-	}
-	if outcome == keyrange.Written {
-		o.replaceIfNewer(s, w.Table, w.Offset+1)
-	}
-	o.mu.Unlock()
+	o.applyOutcome(s, a, w, outcome, sent)
 	if outcome == keyrange.Written {
 		o.sendUpdate(w.Table.Receivers(w.Offset), tableUpdate{Service: s, EndOffset: w.Offset + 1, Table: w.Table})
 	}
@@ -451,6 +442,21 @@
 		zap.Bool("written", outcome == keyrange.Written), zap.Error(err))
 }
 
+// applyOutcome passes the outcome of a write to the agent.
+func (o *ownership) applyOutcome(s ident.Service, a *keyrange.Agent, w keyrange.Write, outcome keyrange.Outcome, sent ident.Instant) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a.ApplyOutcome(w, outcome, sent, o.clock.Now())
+	if outcome == keyrange.Written {
+		o.replaceIfNewer(s, w.Table, w.Offset+1)
+		return
+	}
+	o.readDue = true
+	if o.cancelPoll != nil {
+		o.cancelPoll()
+	}
+}
+
 // outcomeOf maps the error of a conditional append to the outcome for the agent.
 func outcomeOf(err error) keyrange.Outcome {
 	switch {
