Hosts are listed twice, and a monitor that hears few members tells no states

Cause: a daemon whose first list had nine hosts assigned all keys to three servers; a new witness told states without most members, which seemed silent. Change: every daemon lists the hosts again after a second; a monitor answers only while it hears half of the members.

--- a/internal/sidecar/memberstates.go
+++ b/internal/sidecar/memberstates.go
@@ -46,22 +46,34 @@
 	return rand.IntN(monitors)
 }
 
-// answerStates sends the states of a service's members to one of them.
+// answerStates sends the states of a service's members to one of them. A monitor that
+// does not hear at least half of the members has just become one, or is cut off: it does
+// not answer, because the others would seem silent.
 func (p *peers) answerStates(to roster.Entry, s ident.Service) {
 	p.mu.Lock()
 	now := p.clock.Now()
 	var m memberStates
+	members, heard := 0, 0
 	p.roster.Each(func(q *roster.Peer) {
+		if q.Server.Service != s {
+			return
+		}
+		members++
 		age := now.Sub(q.LastHeard)
+		if age < aliveTimeout {
+			heard++
+		}
 		if q.Member == p.self {
 			age = 0
 		}
-		if q.Server.Service == s && q.LastHeard > 0 && age < maxStateAge {
+		if q.LastHeard > 0 && age < maxStateAge {
 			m.States = append(m.States, memberState{Member: q.Member, AgeMS: age.Milliseconds(), Utilization: float32(q.Utilization), LogCurrent: q.LogCurrent})
 		}
 	})
 	p.mu.Unlock()
-	p.send(to, typeMemberStates, m)
+	if 2*heard >= members {
+		p.send(to, typeMemberStates, m)
+	}
 }
 
 // handleMemberStates records the signs of life that a monitor passes on.
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -111,14 +111,9 @@
 		retry.waitAfterCall(ctx, err, p.log, "host_register")
 	}
 	p.listHosts(ctx, retry)
+	// With many daemons, one that registered later greets few of the others.
 	sleep(ctx, secondListDelay)
-	p.mu.Lock()
-	again := p.usesRelays()
-	p.mu.Unlock()
-	if again {
-		// A daemon that registered later greets few of the others, and not this one.
-		p.listHosts(ctx, retry)
-	}
+	p.listHosts(ctx, retry)
 	<-ctx.Done()
 	return nil
 }
