Relays tell new daemons all entries; owners that object are suspected less often

Change: each relay sends everything once to every new relay and daemon of its domain; entries name the expected service until a server reports itself; the wait before an owner is suspected again doubles with its objections. Conclusion: the replay of an objecting owner allows at most six suspicions in 30 s.

--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -81,6 +81,7 @@
 	handoffs        []handoff
 	suspicionSeenAt map[Suspicion]ident.Instant  // when this agent first saw each suspicion in the table
 	silentSince     map[ident.Host]ident.Instant // since when each owner that is not alive has been silent
+	objections      map[ident.Host]int           // how often each silent owner has objected to a suspicion
 	support         supportState
 	gapSince        ident.Instant
 	nextBalanceAt   ident.Instant
@@ -99,6 +100,7 @@
 		calls:           callState{inheritedEnd: inheritedEnd},
 		suspicionSeenAt: make(map[Suspicion]ident.Instant),
 		silentSince:     make(map[ident.Host]ident.Instant),
+		objections:      make(map[ident.Host]int),
 		support:         newSupportState(),
 	}
 }
--- a/internal/core/keyrange/agent_test.go
+++ b/internal/core/keyrange/agent_test.go
@@ -181,3 +181,33 @@
 	assert.Assert(t, late.Tick(settled.Add(cfg.CompletionDelay-1), some(10)) == nil)
 	assert.Assert(t, late.Tick(settled.Add(cfg.CompletionDelay), some(10)) != nil)
 }
+
+// An owner whose heartbeats do not reach this daemon, but which reads the table, objects to
+// each suspicion. Without a growing wait the two write ten times a second.
+func TestOwnerThatObjectsIsSuspectedLessOften(t *testing.T) {
+	a, b := owner("a"), owner("b")
+	now := ident.Instant(time.Hour)
+	agent := NewAgent(testConfig(), a.Member, now)
+	agent.HandleHeartbeat(Heartbeat{Instance: a.Instance, Sequence: 1}, now)
+	table := Table{Rows: []Row{{Span: Span{0, 99}, Owner: a, Fence: 1}, {Span: Span{100, MaxKey}, Owner: b, Fence: 1}}}
+	next := ident.Offset(1)
+	agent.ApplyRead(table, next, now, now)
+	silent := candidate(b)
+	silent.Alive = false
+	suspicions := 0
+	for range 300 { // 30 s
+		now = now.Add(stepInterval)
+		agent.HandleHeartbeat(Heartbeat{Instance: a.Instance, Sequence: int64(now)}, now)
+		w := agent.Tick(now, []Candidate{candidate(a), silent})
+		if w == nil {
+			continue
+		}
+		assert.Equal(t, w.Reason, "suspicion")
+		suspicions++
+		next++
+		agent.ApplyOutcome(*w, Written, now, now)
+		next++
+		agent.ApplyRead(table, next, now, now) // the objection
+	}
+	assert.Assert(t, suspicions >= 2 && suspicions <= 6, "%d suspicions", suspicions)
+}
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -231,6 +231,7 @@
 		owners[h] = true
 		if alive[h] || h == a.member.Host {
 			delete(a.silentSince, h)
+			delete(a.objections, h)
 			continue
 		}
 		if _, ok := a.silentSince[h]; !ok {
@@ -244,14 +245,18 @@
 	}
 }
 
+// maxSuspicionDoubling bounds the wait before an owner that objected is suspected again.
+const maxSuspicionDoubling = 5
+
 // suspectSilentOwners returns a write that adds a suspicion against each owner
-// that has been silent for SuspectAfter plus this planner's delay.
+// that has been silent for SuspectAfter plus this planner's delay. An owner that objects
+// lives, and only its way to this daemon is cut: the wait starts again and is doubled.
 func (a *Agent) suspectSilentOwners(now ident.Instant, rank int, cs []Candidate) *Write {
-	wait := a.cfg.SuspectAfter + a.cfg.RankDelay*time.Duration(rank)
 	t, changed := a.table, false
 	for _, r := range a.table.Rows {
 		m := r.Owner.Member
 		since, silent := a.silentSince[m.Host]
+		wait := a.cfg.SuspectAfter<<min(a.objections[m.Host], maxSuspicionDoubling) + a.cfg.RankDelay*time.Duration(rank)
 		if !silent || now.Sub(since) < wait || t.IsSuspected(m) {
 			continue
 		}
--- a/internal/core/keyrange/read.go
+++ b/internal/core/keyrange/read.go
@@ -60,6 +60,10 @@
 	for s := range a.suspicionSeenAt {
 		if !slices.Contains(a.table.Suspects, s) {
 			delete(a.suspicionSeenAt, s)
+			if _, silent := a.silentSince[s.Member.Host]; silent {
+				a.objections[s.Member.Host]++
+				a.silentSince[s.Member.Host] = now
+			}
 		}
 	}
 	for _, s := range a.table.Suspects {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -189,7 +189,7 @@
 		roster:         roster.New(d.member.Host),
 		foundAt:        make(map[ident.Host]ident.Instant),
 		greetedAt:      make(map[ident.Host]ident.Instant),
-		relay:          relayState{relayed: make(map[ident.Host]roster.Entry)},
+		relay:          relayState{relayed: make(map[ident.Host]roster.Entry), told: make(map[ident.Host]ident.Member)},
 	}
 }
 
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -83,6 +83,9 @@
 // ownEntry returns the roster entry of this daemon, with the next sequence number.
 func (p *peers) ownEntry() roster.Entry {
 	s := p.server.rosterEntry()
+	if s.Instance.ID == "" {
+		s.Service = p.service // expected, until the server reports itself
+	}
 	keys := p.ownership.keyCount(s.Service, p.self.Host)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/sidecar/relayentries.go
+++ b/internal/sidecar/relayentries.go
@@ -23,7 +23,8 @@
 
 // relayState is what a daemon keeps as a relay.
 type relayState struct {
-	relayed  map[ident.Host]roster.Entry // as last sent to the other failure domains
+	relayed  map[ident.Host]roster.Entry // entries of this failure domain as last sent to the others
+	told     map[ident.Host]ident.Member // processes that have received all entries since lastFull
 	lastFull ident.Instant
 }
 
@@ -61,45 +62,63 @@
 }
 
 // relayEntries sends the changed entries of this failure domain to the relays of the
-// others, if this daemon is a relay. At intervals it sends all of them, and all that it
-// knows to its own failure domain, in case a message was lost.
+// others, if this daemon is a relay. A relay that it has not sent to before receives all
+// of them, and a daemon of this failure domain all that are known. At intervals everybody
+// receives all again, in case a message was lost.
 func (p *peers) relayEntries() {
 	p.mu.Lock()
 	relays := p.domainRelays()
 	if !p.usesRelays() || !relay.IsRelay(relays, p.self.Host, p.location) {
+		clear(p.relay.told)
 		p.mu.Unlock()
 		return
 	}
 	now := p.clock.Now()
-	full := now.Sub(p.relay.lastFull) >= fullRelayInterval
-	if full {
+	if now.Sub(p.relay.lastFull) >= fullRelayInterval {
 		p.relay.lastFull = now
+		clear(p.relay.told)
 	}
-	var changed, all []roster.Entry
+	var changed, own, all []roster.Entry
+	var known, newRelays, newMembers []ident.Host
 	p.roster.Each(func(q *roster.Peer) {
 		if q.LastHeard == 0 || now.Sub(q.LastHeard) > relayedAge || q.UnreachableSince > 0 {
 			return
 		}
+		host, inDomain := q.Member.Host, q.Location == p.location
 		all = append(all, q.Entry)
-		if q.Location != p.location || !full && sameState(p.relay.relayed[q.Member.Host], q.Entry) {
-			return
+		if inDomain {
+			own = append(own, q.Entry)
+			if !sameState(p.relay.relayed[host], q.Entry) {
+				p.relay.relayed[host] = q.Entry
+				changed = append(changed, q.Entry)
+			}
+		}
+		switch {
+		case host == p.self.Host, !inDomain && !relay.IsRelay(relays, host, q.Location):
+		case p.relay.told[host] == q.Member:
+			if !inDomain {
+				known = append(known, host)
+			}
+		case inDomain:
+			newMembers = append(newMembers, host)
+			p.relay.told[host] = q.Member
+		default:
+			newRelays = append(newRelays, host)
+			p.relay.told[host] = q.Member
 		}
-		p.relay.relayed[q.Member.Host] = q.Entry
-		changed = append(changed, q.Entry)
 	})
 	p.mu.Unlock()
-	if len(changed) > 0 {
-		p.sendEntries(changed, func(q *roster.Peer) bool {
-			return q.Location != p.location && relay.IsRelay(relays, q.Member.Host, q.Location)
-		})
-	}
-	if full {
-		p.sendEntries(all, func(q *roster.Peer) bool { return q.Location == p.location })
-	}
+	p.sendEntries(changed, known)
+	p.sendEntries(own, newRelays)
+	p.sendEntries(all, newMembers)
 }
 
-func (p *peers) sendEntries(es []roster.Entry, to func(*roster.Peer) bool) {
-	for _, q := range p.selectPeers(to) {
+// sendEntries sends entries to hosts.
+func (p *peers) sendEntries(es []roster.Entry, to []ident.Host) {
+	if len(es) == 0 || len(to) == 0 {
+		return
+	}
+	for _, q := range p.selectPeers(func(q *roster.Peer) bool { return slices.Contains(to, q.Member.Host) }) {
 		p.send(q, typeRelayedEntries, relayedEntries{Entries: es})
 	}
 }
@@ -120,15 +139,19 @@
 		}
 	}
 	sender, known := p.roster.Get(from.Host)
-	forward := len(changed) > 0 && known && sender.Location != p.location &&
-		relay.IsRelay(p.domainRelays(), p.self.Host, p.location)
+	var members []ident.Host
+	if known && sender.Location != p.location && relay.IsRelay(p.domainRelays(), p.self.Host, p.location) {
+		p.roster.Each(func(q *roster.Peer) {
+			if q.Location == p.location && q.Member != p.self {
+				members = append(members, q.Member.Host)
+			}
+		})
+	}
 	p.mu.Unlock()
 	for _, e := range changed {
 		p.logPeerState(e)
 	}
-	if forward {
-		p.sendEntries(changed, func(q *roster.Peer) bool { return q.Location == p.location })
-	}
+	p.sendEntries(changed, members)
 }
 
 // sameState reports whether two entries differ only in what changes all the time.
