Grants by call go to the rows whose grants end first; servers with short queues receive load

A limit of 0.95 on receivers kept hot keys where they were while others had short queues. Change: wanted rows are sorted by the end of their grants; receivers may have up to 1.5 times their slots in use and waiting.

--- a/internal/core/keyrange/balance.go
+++ b/internal/core/keyrange/balance.go
@@ -10,7 +10,8 @@
 // Thresholds of moves for balance. The keys of a move are unavailable for about
 // one heartbeat, so the agent moves load only where requests wait.
 const (
-	overloadUtilization = 0.95 // minimum utilization of the giver for a move of load, and limit of a receiver's
+	overloadUtilization = 0.95 // minimum utilization of the giver for a move of load
+	maxReceiverLoad     = 1.5  // limit of a receiver's utilization: a request waits there for half a service time on average
 	receiverFactor      = 0.6  // maximum utilization of a receiver, as a fraction of the giver's
 	fewKeysFactor       = 0.5  // a server with less than this fraction of its fair share receives keys
 	surplusKeysFactor   = 1.1  // a server with more than this fraction of its fair share gives keys
@@ -148,9 +149,9 @@
 }
 
 // loadReceivers returns the servers with a much lower utilization than the server
-// of this daemon and with free slots, the utilization of that server, and the mean
-// utilization of all servers. A move to a server whose requests wait as well would make
-// the keys unavailable for its time and serve nobody sooner.
+// of this daemon and with a short queue, the utilization of that server, and the mean
+// utilization of all servers. A move to a server with a long queue would make the keys
+// unavailable for its time and serve nobody sooner.
 func (a *Agent) loadReceivers(cs []Candidate) (to []*receiver, utilization, mean float64) {
 	n := 0
 	for _, c := range cs {
@@ -164,7 +165,7 @@
 		}
 	}
 	for _, c := range cs {
-		if c.Ready && c.Alive && c.Owner != a.selfOwner() && c.Utilization <= receiverFactor*utilization && c.Utilization < overloadUtilization {
+		if c.Ready && c.Alive && c.Owner != a.selfOwner() && c.Utilization <= receiverFactor*utilization && c.Utilization < maxReceiverLoad {
 			to = append(to, &receiver{owner: c.Owner, utilization: c.Utilization, giverUtilization: utilization})
 		}
 	}
--- a/internal/core/keyrange/call.go
+++ b/internal/core/keyrange/call.go
@@ -1,6 +1,8 @@
 package keyrange
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
@@ -264,7 +266,7 @@
 }
 
 // dueGrants returns grants of the wanted rows that the server does not hold yet or
-// whose grants must be renewed.
+// whose grants must be renewed. It sorts the wanted rows.
 func (a *Agent) dueGrants(wanted []Row, now ident.Instant) []Call {
 	left := a.remainingLease(now)
 	hold := min(a.cfg.MaxHold, left-left*time.Duration(a.cfg.DriftPerMille)/1000-a.cfg.CallDelay)
@@ -277,6 +279,7 @@
 			inFlight++
 		}
 	}
+	slices.SortStableFunc(wanted, func(x, y Row) int { return cmp.Compare(a.grantedUntil(x), a.grantedUntil(y)) })
 	var calls []Call
 	for _, r := range wanted {
 		if inFlight >= maxGrantCalls {
@@ -298,6 +301,18 @@
 	return calls
 }
 
+// grantedUntil returns when the last confirmed grant of a row ends, or zero. Rows whose
+// grants end first come first: there may be more rows than calls in flight.
+func (a *Agent) grantedUntil(r Row) ident.Instant {
+	var until ident.Instant
+	for _, g := range a.calls.grants {
+		if g.status == callConfirmed && g.fence == r.Fence && g.Covers(r.Span) {
+			until = max(until, g.usable)
+		}
+	}
+	return until
+}
+
 // isGranted reports whether the whole row is granted and needs no renewal yet.
 func (a *Agent) isGranted(r Row, now ident.Instant) bool {
 	parts := []Span{r.Span}
--- a/internal/core/keyrange/call_test.go
+++ b/internal/core/keyrange/call_test.go
@@ -134,3 +134,25 @@
 	assert.Assert(t, w != nil)
 	assert.Equal(t, w.Table.Rows[0].Owner, other)
 }
+
+// Load pattern: a server owns more rows than calls may be in flight, and its first rows
+// are due for renewal before the last ones were granted once. Every row is granted. Found
+// by TestEveryKeyIsHeldAgainByCall.
+func TestManyRowsAreAllGranted(t *testing.T) {
+	const rows = 24
+	a, self, _, now := newCallAgent(t)
+	table := Table{}
+	for i := range rows {
+		table.Rows = append(table.Rows, Row{Span: Span{Key(100 * i), Key(100*i + 50)}, Owner: self, Fence: 1})
+	}
+	for round := range 8 {
+		a.ApplyRead(table, ident.Offset(2+round), now, now)
+		for _, c := range a.Calls(now) {
+			a.ApplyCallOutcome(c, CallDone, "", now)
+		}
+		now = now.Add(testConfig().MaxHold / 4)
+	}
+	for i := range rows {
+		assert.Assert(t, a.MayHold(Key(100*i), now.Add(-testConfig().MaxHold/4)), "row %d", i)
+	}
+}
