A source forwards each table that it read, also if it has a newer one

Cause: a daemon that had received a table from its writer skipped the older table of the same service that its next read returned, and told its followers the end of that read without it. A follower would have renewed its lease on a table that was not the newest. Change: the tables at the offset of the last read are kept apart from the newest ones; differences are made and applied between the former.

--- a/internal/sidecar/ownership.go
+++ b/internal/sidecar/ownership.go
@@ -49,7 +49,7 @@
 	mu            sync.Mutex // guards the fields below
 	agents        map[ident.Service]*keyrange.Agent
 	tables        map[ident.Service]versionedTable // newest known tables, from the store or a peer
-	readTable     map[ident.Service]versionedTable // tables as last read from the store; followers receive the changes of these
+	readTable     map[ident.Service]versionedTable // tables at nextOffset, by reads of this daemon or its source; followers receive the changes of these
 	nextOffset    ident.Offset                     // end of the stream at the last read
 	synced        bool                             // all tables have been read since the last agent was added
 	localService  ident.Service                    // service of the server beside the daemon
@@ -290,12 +290,18 @@
 			o.log.Warn("ownership_record_unreadable", zap.String("service", e.Key), zap.Uint64("offset", uint64(e.Offset)), zap.Error(err))
 			continue
 		}
-		if e.Offset < o.nextOffset && o.synced || !o.replaceIfNewer(ident.Service(e.Key), t, e.Offset+1) {
+		service, end := ident.Service(e.Key), e.Offset+1
+		if e.Offset < o.nextOffset && o.synced {
+			continue
+		}
+		// Followers need each table that was read, also if this daemon has received a
+		// newer one from its writer: they will rely on the end of this read.
+		before := o.readTable[service]
+		o.readTable[service] = versionedTable{t, end}
+		changes = append(changes, tableChange{Service: service, Base: before.endOffset, EndOffset: end, Diff: before.Diff(t)})
+		if !o.replaceIfNewer(service, t, end) {
 			continue
 		}
-		before := o.readTable[ident.Service(e.Key)]
-		o.readTable[ident.Service(e.Key)] = versionedTable{t, e.Offset + 1}
-		changes = append(changes, tableChange{Service: ident.Service(e.Key), Base: before.endOffset, EndOffset: e.Offset + 1, Diff: before.Diff(t)})
 		o.log.Info("ownership_table", zap.String("service", e.Key), zap.Uint64("offset", uint64(e.Offset)),
 			zap.Int("rows", len(t.Rows)), zap.Int("suspects", len(t.Suspects)))
 	}
--- a/internal/sidecar/sharedreads.go
+++ b/internal/sidecar/sharedreads.go
@@ -99,19 +99,17 @@
 		return
 	}
 	for _, c := range m.Tables {
-		if o.tables[c.Service].endOffset >= c.EndOffset {
-			continue // received from its writer
-		}
-		if o.tables[c.Service].endOffset != c.Base {
+		if o.readTable[c.Service].endOffset != c.Base {
 			return // a change before it did not arrive; this daemon will read by itself
 		}
-		t, err := o.tables[c.Service].Apply(c.Diff)
+		t, err := o.readTable[c.Service].Apply(c.Diff)
 		if err != nil {
 			o.log.Warn("ownership_forward_refused", zap.String("service", string(c.Service)),
 				zap.Uint64("offset", uint64(c.EndOffset-1)), zap.Error(err))
 			return
 		}
-		o.tables[c.Service] = versionedTable{t, c.EndOffset}
+		o.readTable[c.Service] = versionedTable{t, c.EndOffset}
+		o.replaceIfNewer(c.Service, t, c.EndOffset) // a newer one may have come from its writer
 	}
 	// The source's answers renew the lease; when it sent this read is not known here.
 	o.reachOffset(m.Next, 0, o.clock.Now())
