--- a/internal/sidecar/memberstates.go
+++ b/internal/sidecar/memberstates.go
@@ -2,10 +2,10 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
-	"github.com/burdockfold/burdockfold/internal/core/relay"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
 )
 
@@ -109,17 +109,6 @@
 
 // hearsMembers reports whether this daemon receives the heartbeats of a service's members.
 func (p *peers) hearsMembers(s ident.Service, witnesses []ident.Host) bool {
-	members := p.serviceHosts(s)
-	if len(members) <= relay.FullMeshLimit {
-		return true
-	}
-	if len(witnesses) == 0 {
-		witnesses = relay.Monitors(members)
-	}
-	for _, w := range witnesses {
-		if w == p.self.Host {
-			return true
-		}
-	}
-	return false
+	monitors, all := p.monitorsOf(s, witnesses)
+	return all || slices.Contains(monitors, p.self.Host)
 }
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -257,71 +257,46 @@
 	var err error
 	switch m.Type {
 	case typeHello:
-		var h hello
-		if err = codec.Unmarshal(m.Data, &h); err == nil {
-			p.handleHello(h)
-		}
+		err = decodeThen(m.Data, func(h hello) { p.handleHello(h) })
 	case typePeerHeartbeat:
-		var q peerHeartbeat
-		if err = codec.Unmarshal(m.Data, &q); err == nil {
-			p.handlePeerHeartbeat(from, q)
-		}
+		err = decodeThen(m.Data, func(q peerHeartbeat) { p.handlePeerHeartbeat(from, q) })
 	case typeConfig:
-		var d configDocument
-		if err = codec.Unmarshal(m.Data, &d); err == nil {
-			p.configs.applyDocument(d.Config, string(from.Host))
-		}
+		err = decodeThen(m.Data, func(d configDocument) { p.configs.applyDocument(d.Config, string(from.Host)) })
 	case typeSupport:
-		var u support
-		if err = codec.Unmarshal(m.Data, &u); err == nil {
-			p.ownership.recordSupport(u.Service, from.Host, u.Seq)
-		}
+		err = decodeThen(m.Data, func(u support) { p.ownership.recordSupport(u.Service, from.Host, u.Seq) })
 	case typeConsent:
-		var c consent
-		if err = codec.Unmarshal(m.Data, &c); err == nil {
-			p.ownership.recordConsent(c.Service, from.Host, c.Suspicion)
-		}
+		err = decodeThen(m.Data, func(c consent) { p.ownership.recordConsent(c.Service, from.Host, c.Suspicion) })
 	case typeTableUpdate:
-		var g tableUpdate
-		if err = codec.Unmarshal(m.Data, &g); err == nil {
-			p.ownership.handleTableUpdate(from.Host, g)
-		}
+		err = decodeThen(m.Data, func(g tableUpdate) { p.ownership.handleTableUpdate(from.Host, g) })
 	case typeReadRequest:
-		var r readRequest
-		if err = codec.Unmarshal(m.Data, &r); err == nil {
-			p.handleReadRequest(from, r)
-		}
+		err = decodeThen(m.Data, func(r readRequest) { p.handleReadRequest(from, r) })
 	case typeReadAnswer:
-		var a readAnswer
-		if err = codec.Unmarshal(m.Data, &a); err == nil {
-			p.ownership.handleReadAnswer(from.Host, a)
-		}
+		err = decodeThen(m.Data, func(a readAnswer) { p.ownership.handleReadAnswer(from.Host, a) })
 	case typeRelayedEntries:
-		var r relayedEntries
-		if err = codec.Unmarshal(m.Data, &r); err == nil {
-			p.handleRelayedEntries(from, r)
-		}
+		err = decodeThen(m.Data, func(r relayedEntries) { p.handleRelayedEntries(from, r) })
 	case typeMemberStates:
-		var s memberStates
-		if err = codec.Unmarshal(m.Data, &s); err == nil {
-			p.handleMemberStates(s)
-		}
+		err = decodeThen(m.Data, func(s memberStates) { p.handleMemberStates(s) })
 	case typeReadForward:
-		var f readForward
-		if err = codec.Unmarshal(m.Data, &f); err == nil {
-			p.ownership.handleReadForward(f)
-		}
+		err = decodeThen(m.Data, func(f readForward) { p.ownership.handleReadForward(f) })
 	case typeVersionHint:
-		var h versionHint
-		if err = codec.Unmarshal(m.Data, &h); err == nil {
-			p.handleVersionHint(from, h)
-		}
+		err = decodeThen(m.Data, func(h versionHint) { p.handleVersionHint(from, h) })
 	}
 	if err != nil {
 		p.log.Warn("message_unreadable", zap.String("type", m.Type), zap.Stringer("peer", from), zap.Error(err))
 	}
 }
 
+// decodeThen decodes a control message and passes it to handle. It returns the error of
+// the decoding.
+func decodeThen[T any](data []byte, handle func(T)) error {
+	var m T
+	if err := codec.Unmarshal(data, &m); err != nil {
+		return err
+	}
+	handle(m)
+	return nil
+}
+
 // handleHello merges the sender's entry into the roster. It answers with the own entry if
 // the sender asks for it or is new, and with the configuration if the sender asks for it
 // and has an older version.
--- a/internal/sidecar/relayentries.go
+++ b/internal/sidecar/relayentries.go
@@ -169,16 +169,21 @@
 // all members and witnesses, or with many members the witnesses only. As long as the table
 // names none, the monitors take their place.
 func (p *peers) heartbeatTargets(s ident.Service, witnesses []ident.Host) []roster.Entry {
+	monitors, all := p.monitorsOf(s, witnesses)
+	return p.selectPeers(func(q *roster.Peer) bool {
+		return all && q.Server.Service == s || slices.Contains(monitors, q.Member.Host)
+	})
+}
+
+// monitorsOf returns the daemons that receive the heartbeats of a service's members, and
+// whether all members receive them as well.
+func (p *peers) monitorsOf(s ident.Service, witnesses []ident.Host) (monitors []ident.Host, all bool) {
 	members := p.serviceHosts(s)
-	if len(members) <= relay.FullMeshLimit {
-		return p.selectPeers(func(q *roster.Peer) bool {
-			return q.Server.Service == s || slices.Contains(witnesses, q.Member.Host)
-		})
-	}
-	if len(witnesses) == 0 {
-		witnesses = relay.Monitors(members)
+	all = len(members) <= relay.FullMeshLimit
+	if len(witnesses) == 0 && !all {
+		return relay.Monitors(members), false
 	}
-	return p.selectPeers(func(q *roster.Peer) bool { return slices.Contains(witnesses, q.Member.Host) })
+	return witnesses, all
 }
 
 // serviceHosts returns the known hosts of a service.
