Log and measure the limits that backend servers name

Logs and metrics could not tell whether a server had named a limit, nor how many requests reached it, so that the hypotheses on LIMIT could not be told apart. origin reads the two header fields, the daemon beside the server logs server_limit when the limit changes and shows burdock_server_limit and burdock_server_requests. Nothing depends on them yet.

--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -10,6 +10,7 @@
 	"context"
 	"time"
 
+	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 )
@@ -25,6 +26,8 @@
 	Signature     string // proves that the answer comes from the server
 	NotRun        string // set by a server that did not execute the request
 	Load          string // numbers of running and waiting requests and of slots of the server
+	Limit         string // requests per second that the server accepts from all hosts together
+	Leaving       string // set by a server that will stop soon
 }
 
 // Field is an HTTP header field.
@@ -67,6 +70,10 @@
 	ReachedBackend bool           // at least one byte of the request was, or may have been, sent to a backend server
 	Load           Load           // load of the backend server beside the daemon that answers
 	ServiceTime    time.Duration  // time that the backend server took; zero means unknown
+
+	// Statement is what the backend server's answer states about the server; nil if none
+	// came. It is not sent to other daemons.
+	Statement *advisory.Statement
 }
 
 // FailedAnswer returns the answer for a request that failed with e.
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -271,7 +271,7 @@
 		}
 		body, keep, err := x.readBody(h)
 		if err != nil {
-			return x.incompleteAnswer(h, err), false
+			return x.withStatement(x.incompleteAnswer(h, err), h), false
 		}
 		if x.namesOtherRequest(h) {
 			if !keep {
@@ -279,7 +279,7 @@
 			}
 			continue
 		}
-		return x.checkAnswer(h, body), keep && x.conn.R.Buffered() == 0
+		return x.withStatement(x.checkAnswer(h, body), h), keep && x.conn.R.Buffered() == 0
 	}
 	return hop.FailedAnswer(errkind.New(errkind.OutcomeUnknown, "only answers to other requests came")), false
 }
--- a/internal/origin/client_test.go
+++ b/internal/origin/client_test.go
@@ -19,7 +19,7 @@
 
 var names = hop.HeaderNames{
 	RequestID: "Id", Deadline: "Deadline", ShardKey: "Key", CallerService: "Caller", TargetServer: "Target",
-	ServerID: "Server", Signature: "Signature", NotRun: "Not-Run", Load: "Load",
+	ServerID: "Server", Signature: "Signature", NotRun: "Not-Run", Load: "Load", Limit: "Limit", Leaving: "Leaving",
 }
 
 // startScriptedServer starts a server that answers each request with the next of the
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -128,7 +128,7 @@
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	d.telemetry = p
-	d.metrics, err = newMetrics(p.Meter(), func() (int, int) { l := d.gate.SlotUsage(); return l.Running, l.Waiting })
+	d.metrics, err = newMetrics(p.Meter(), func() (int, int) { l := d.gate.SlotUsage(); return l.Running, l.Waiting }, func() float64 { return d.server.limit() })
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -21,6 +21,7 @@
 	latency     metric.Float64Histogram
 	repeats     metric.Int64Counter
 	declined    metric.Int64Counter
+	received    metric.Int64Counter
 	serviceTime metric.Float64Histogram
 	grants      metric.Int64Counter
 	grantCalls  metric.Int64Counter
@@ -33,8 +34,9 @@
 // from one hop within a failure domain to the longest time that callers wait.
 var latencyBounds = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12}
 
-// newMetrics creates the instruments. gate returns the current use of the slots.
-func newMetrics(m metric.Meter, gate func() (running, waiting int)) (*metrics, error) {
+// newMetrics creates the instruments. gate returns the current use of the slots, limit
+// the requests per second that the backend server accepts, zero if it states no limit.
+func newMetrics(m metric.Meter, gate func() (running, waiting int), limit func() float64) (*metrics, error) {
 	var out metrics
 	var errs []error
 	counter := func(name, description string) metric.Int64Counter {
@@ -52,6 +54,7 @@
 	out.latency = seconds("burdock_request_seconds", "time from a request to its answer by route")
 	out.repeats = counter("burdock_repeats", "requests sent to a backend server once more, by service")
 	out.declined = counter("burdock_declined", "requests that the backend server here did not answer, by kind")
+	out.received = counter("burdock_server_requests", "requests that were sent to the backend server here")
 	out.serviceTime = seconds("burdock_server_seconds", "service time of the backend server here by route")
 	out.grants = counter("burdock_grants", "heartbeats of a server that owns keys, by whether they were answered with a grant")
 	out.grantCalls = counter("burdock_grant_calls", "calls that grant keys to the server here or take them back, by kind and outcome")
@@ -65,7 +68,12 @@
 			o.Observe(int64(waiting), metric.WithAttributes(attribute.String("state", "waiting")))
 			return nil
 		}))
-	if err := errors.Join(append(errs, err)...); err != nil {
+	_, limitErr := m.Float64ObservableGauge("burdock_server_limit", metric.WithDescription("requests per second that the backend server here accepts, 0 without a limit"),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(limit())
+			return nil
+		}))
+	if err := errors.Join(append(errs, err, limitErr)...); err != nil {
 		return nil, fmt.Errorf("sidecar: metrics: %w", err)
 	}
 	return &out, nil
@@ -99,6 +107,12 @@
 	}
 }
 
+func (m *metrics) countServerRequest(sent bool) {
+	if m != nil && sent {
+		count(m.received)
+	}
+}
+
 func (m *metrics) countGrant(issued bool) {
 	if m != nil {
 		count(m.grants, attribute.Bool("given", issued))
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/burdockfold/burdockfold/internal/admitting"
+	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
@@ -45,6 +46,7 @@
 	lost          bool          // silent or refused a connection since its last heartbeat
 	coldUntil     ident.Instant // the server is slow until then
 	lastHeartbeat ident.Instant
+	statements    advisory.Tracker // what the server states in its answers
 }
 
 // HandleHeartbeat implements ServerPort.
@@ -86,6 +88,7 @@
 	if hb.Draining && (!s.leaving || !same) {
 		s.leavingSince = now
 	}
+	s.statements.SetInstance(hb.Instance)
 	s.instance, s.service, s.addr, s.slots, s.sequence = hb.Instance, hb.Service, hb.Addr, hb.Slots, hb.Sequence
 	s.leaving, s.lost, s.lastHeartbeat = hb.Draining, false, now
 	return changed, false
@@ -113,6 +116,30 @@
 	s.log.Warn("server_heartbeat_malformed", zap.String("server", id), zap.Error(err))
 }
 
+// recordStatement records what an answer of an instance states about the server. sent is
+// when the request was sent to the server.
+func (s *server) recordStatement(i roster.Instance, st advisory.Statement, sent ident.Instant) {
+	s.mu.Lock()
+	before := s.statements
+	s.statements.RecordAnswer(i, st, sent, s.clock.Now())
+	limit := s.statements.Limit()
+	s.mu.Unlock()
+	if st.InvalidLimit != "" {
+		s.log.Warn("server_limit_invalid", zap.String("server", i.ID), zap.String("limit", st.InvalidLimit))
+	}
+	if limit != before.Limit() {
+		s.log.Info("server_limit", zap.String("server", i.ID), zap.Float64("per_second", limit), zap.Float64("before", before.Limit()))
+	}
+}
+
+// limit returns the limit that the server states, in requests per second; zero if there
+// is none.
+func (s *server) limit() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statements.Limit()
+}
+
 // checkSilence marks the server as lost if it has sent no heartbeat for longer than
 // maxMissedHeartbeats intervals.
 func (s *server) checkSilence() {
