Tests of a limited server, failing: all daemons send as much as before

TestServerGetsNoMoreThanItsLimit: 66 requests within 0.8 s where the limit allows 65 in 4 s. TestLimitOutlivesDaemonBesideServer, with a restart of the daemon beside the server: 12 within 0.6 s where 11 are allowed in 4 s.

--- a/internal/standin/shardserver/server.go
+++ b/internal/standin/shardserver/server.go
@@ -48,6 +48,8 @@
 	executions  []Execution
 	silent      bool // no heartbeats are sent
 	serviceTime time.Duration
+	limit       string // value of the header field Server-Limit; "" sends none
+	leaving     bool   // answers state that the server will stop
 	closed      chan struct{} // closed by Close
 	closeOnce   sync.Once
 }
@@ -89,6 +91,14 @@
 // SetServiceTime sets how long each request takes that arrives from now on.
 func (s *Server) SetServiceTime(d time.Duration) { s.update(func() { s.serviceTime = d }) }
 
+// SetLimit makes the following answers name a limit in requests per second, or none if
+// it is "". The server does not enforce it.
+func (s *Server) SetLimit(perSecond string) { s.update(func() { s.limit = perSecond }) }
+
+// StateLeaving makes the following answers state that the server will stop. Heartbeats do
+// not say so.
+func (s *Server) StateLeaving() { s.update(func() { s.leaving = true }) }
+
 // Drain makes the following heartbeats announce that the server is draining.
 func (s *Server) Drain() { s.update(func() { s.state = "draining" }) }
 
@@ -255,6 +265,7 @@
 		execution.Key = key
 	}
 	w.Header().Set("X-Attempt-Id", execution.ID)
+	s.addStatements(w.Header())
 	if r.Header.Get("X-Target-Instance") != s.cfg.ID || s.cfg.Sharded && !s.holdsKey(int64(execution.Key)) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -271,6 +282,19 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", s.cfg.ID, r.URL.RequestURI(), body)
 }
 
+// addStatements adds the header fields in which the server states its limit and that it
+// will stop.
+func (s *Server) addStatements(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit != "" {
+		h.Set("Server-Limit", s.limit)
+	}
+	if s.leaving {
+		h.Set("Server-Leaving", "1")
+	}
+}
+
 // holdsKey reports whether the server holds a key now.
 func (s *Server) holdsKey(key int64) bool {
 	for _, h := range s.HeldRanges() {
