The limit of a server outlives the daemon beside it

The new process of a restarted daemon knew no limit until the server had answered, so that daemons that had been told of the limit filled its slots: 9 requests within 2.9 s at a limit of 0.5 a second, which allows 8 in 4 s. What is known only in the memory of one process is lost with it; here other processes know it as well.

Answers between daemons carry an advisory (instance of the server, limit), the daemon where a request began keeps the last one of each host, and its next request takes it along. The daemon beside the server applies it until the server answers itself, if it is about the instance that runs there.

--- a/internal/core/advisory/advisory.go
+++ b/internal/core/advisory/advisory.go
@@ -1,6 +1,9 @@
 // Package advisory tracks what backend servers state about themselves in their answers:
 // a limit on their requests, and that they will stop. The daemon beside a server keeps a
-// Tracker of it. The package performs no I/O: callers pass instants in.
+// Tracker of it; the daemons where requests begin keep a Book of the servers that
+// answered them, and send what they know along with later requests, because the daemon
+// beside the server may have been restarted since. The package performs no I/O: callers
+// pass instants in.
 package advisory
 
 import (
@@ -23,11 +26,20 @@
 	InvalidLimit string
 }
 
+// Advisory is what is known of one instance of a server.
+type Advisory struct {
+	Instance     roster.Instance
+	Limit        float64       // requests per second from all hosts together; zero if there is no limit
+	Leaving      bool          // the server will stop soon
+	LeavingSince ident.Instant // since when it is known to leave; may precede the start of the clock
+}
+
 // Tracker keeps the limit of the server beside a daemon. The zero value knows no server.
 // It is not safe for concurrent use.
 type Tracker struct {
 	instance roster.Instance
 	limit    float64
+	answered bool          // the instance has answered a request of this process
 	namedAt  ident.Instant // when the last answer that named a limit arrived
 }
 
@@ -49,6 +61,7 @@
 	if i != t.instance {
 		return
 	}
+	t.answered = true
 	switch {
 	case s.Limited:
 		t.limit, t.namedAt = max(s.Limit, minLimit), now
@@ -56,3 +69,11 @@
 		t.limit = 0
 	}
 }
+
+// RecordPeer applies the limit that another daemon knows from earlier answers. It counts
+// until the server has answered a request of this process.
+func (t *Tracker) RecordPeer(a Advisory) {
+	if a.Instance == t.instance && !t.answered && a.Limit > 0 {
+		t.limit = max(a.Limit, minLimit)
+	}
+}
--- a/internal/core/advisory/advisory_test.go
+++ b/internal/core/advisory/advisory_test.go
@@ -12,7 +12,8 @@
 )
 
 var (
-	first = roster.Instance{ID: "i", StartedMS: 1}
+	first  = roster.Instance{ID: "i", StartedMS: 1}
+	second = roster.Instance{ID: "i", StartedMS: 2}
 )
 
 func limited(perSecond float64) advisory.Statement {
@@ -44,3 +45,32 @@
 	tr.RecordAnswer(first, limited(0), at(0), at(1))
 	assert.Assert(t, tr.Limit() > 0 && tr.Limit() <= 1)
 }
+
+// A new process beside the server relies on what other daemons were told, until the
+// server answers.
+func TestRestartedDaemonTakesLimitFromPeers(t *testing.T) {
+	var tr advisory.Tracker
+	tr.SetInstance(first)
+	tr.RecordPeer(advisory.Advisory{Instance: second, Limit: 3})
+	assert.Equal(t, tr.Limit(), 0.0, "a limit of another instance")
+	tr.RecordPeer(advisory.Advisory{Instance: first, Limit: 3})
+	assert.Equal(t, tr.Limit(), 3.0)
+	tr.RecordAnswer(first, advisory.Statement{}, at(10), at(20))
+	tr.RecordPeer(advisory.Advisory{Instance: first, Limit: 3})
+	assert.Equal(t, tr.Limit(), 0.0, "the server's own answer is newer")
+	tr.RecordAnswer(first, limited(5), at(30), at(40))
+	tr.SetInstance(second)
+	assert.Equal(t, tr.Limit(), 0.0, "a new instance starts without a limit")
+}
+
+// An answer of a daemon that was restarted and knows nothing must not erase what this
+// daemon was told, unless the server itself has answered.
+func TestBookKeepsAdvisoryUntilServerAnswers(t *testing.T) {
+	b := advisory.NewBook()
+	b.Record("h", &advisory.Advisory{Instance: first, Limit: 3}, true)
+	b.Record("h", nil, false)
+	assert.Equal(t, b.Of("h").Limit, 3.0)
+	assert.Assert(t, b.Of("other") == nil)
+	b.Record("h", nil, true)
+	assert.Assert(t, b.Of("h") == nil)
+}
--- a/internal/hop/fuzz_test.go
+++ b/internal/hop/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 )
@@ -15,7 +16,7 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	answer, _, err := encodeAnswer(&Answer{Status: 200, Body: []byte("b"), Failure: errkind.New(errkind.NotOwner, "x")})
+	answer, _, err := encodeAnswer(&Answer{Status: 200, Body: []byte("b"), Failure: errkind.New(errkind.NotOwner, "x"), Advisory: &advisory.Advisory{Limit: 2, Leaving: true}}, now)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -25,7 +26,7 @@
 		if r, _, err := decodeRequest(head, now); err == nil && r.TimeLeft(now) > maxPeerDuration {
 			t.Fatalf("%s left", r.TimeLeft(now))
 		}
-		if a, _, err := decodeAnswer(head); err == nil && a.Failure != nil {
+		if a, _, err := decodeAnswer(head, now); err == nil && a.Failure != nil {
 			_ = a.Failure.Answer()
 			_ = a.Failure.Kind.String()
 		}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -38,15 +38,15 @@
 
 func TestAnswerSurvivesTheWire(t *testing.T) {
 	a := &Answer{Status: 200, Header: []Field{{"A", "b"}}, Body: []byte("x"), ReachedBackend: true, Load: Load{1, 2, 3}, ServiceTime: 5 * time.Millisecond}
-	head, _, err := encodeAnswer(a)
+	head, _, err := encodeAnswer(a, 1)
 	assert.NilError(t, err)
-	got, _, err := decodeAnswer(head)
+	got, _, err := decodeAnswer(head, 1)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, a)
 
-	head, _, err = encodeAnswer(FailedAnswer(errkind.New(errkind.NotOwner, "key %d", 3)))
+	head, _, err = encodeAnswer(FailedAnswer(errkind.New(errkind.NotOwner, "key %d", 3)), 1)
 	assert.NilError(t, err)
-	got, _, err = decodeAnswer(head)
+	got, _, err = decodeAnswer(head, 1)
 	assert.NilError(t, err)
 	assert.Equal(t, got.Failure.Kind, errkind.NotOwner)
 	assert.Equal(t, got.Failure.Answer().Truth, errkind.NotRun)
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -54,6 +54,10 @@
 	Priority   int    // priority of the route, 0 is the most urgent
 	Caller     string // service that sent the request, on the host where it originated
 	Trace      string // W3C traceparent, empty if the request has none
+
+	// Advisory is what the daemon where the request began knows of the target's backend
+	// server from earlier answers; nil if nothing.
+	Advisory *advisory.Advisory
 }
 
 // Load is the slot usage of a backend server.
@@ -71,6 +75,9 @@
 	Load           Load           // load of the backend server beside the daemon that answers
 	ServiceTime    time.Duration  // time that the backend server took; zero means unknown
 
+	// Advisory is what the daemon beside the backend server knows of it; nil if nothing
+	// that limits its use.
+	Advisory *advisory.Advisory
 	// Statement is what the backend server's answer states about the server; nil if none
 	// came. It is not sent to other daemons.
 	Statement *advisory.Statement
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -45,7 +45,7 @@
 		return streamFailure(ctx, err)
 	}
 	defer func() { _ = stream.Body().Close() }()
-	a, size, err := decodeAnswer(stream.Head())
+	a, size, err := decodeAnswer(stream.Head(), c.clock.Now())
 	if err != nil {
 		return FailedAnswer(errkind.New(errkind.PeerProtocol, "%w", err))
 	}
@@ -99,7 +99,7 @@
 // stream and responds with the answer.
 func (s *Server) HandleStream(ctx context.Context, from ident.Member, stream mesh.ServerStream) {
 	a := s.serve(ctx, stream)
-	head, rest, err := encodeAnswer(a)
+	head, rest, err := encodeAnswer(a, s.clock.Now())
 	if err == nil {
 		err = stream.Respond(head, bytes.NewReader(rest))
 	}
--- a/internal/hop/wire.go
+++ b/internal/hop/wire.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/burdockfold/burdockfold/internal/codec"
+	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/roster"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 )
 
@@ -34,6 +37,7 @@
 	Priority     int
 	Caller       string
 	Trace        string
+	Advisory     *wireAdvisory
 }
 
 // wireAnswer is the CBOR array that encodes an answer. The order of the fields is the
@@ -49,8 +53,23 @@
 	ReachedBackend bool
 	Load           [3]int
 	ServiceTimeMS  int64 // time that the backend server took; zero means unknown
+	Advisory       *wireAdvisory
 }
 
+// wireAdvisory is the CBOR array that encodes an advisory. The order of the fields is the
+// wire format.
+type wireAdvisory struct {
+	//lint:ignore U1000 the codec reads its tag
+	_struct   struct{} `codec:",toarray"`
+	ID        string
+	StartedMS int64
+	Limit     float64
+	LeavingMS int64 // time since the server is known to leave, in milliseconds; noLeave if it does not
+}
+
+// noLeave is the value of wireAdvisory.LeavingMS for a server that does not leave.
+const noLeave = -1
+
 // wireFailure is the CBOR array that encodes the failure of an answer. The order of the
 // fields is the wire format.
 type wireFailure struct {
@@ -73,7 +92,7 @@
 	w := wireRequest{
 		ID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Header: flattenFields(r.Header),
 		TimeLeftMS: r.TimeLeft(now).Milliseconds(), TargetLeftMS: targetLeft(r.TargetTime, now), Key: r.Key, Service: string(r.Service),
-		Route: r.Route, Priority: r.Priority, Caller: r.Caller, Trace: r.Trace,
+		Route: r.Route, Priority: r.Priority, Caller: r.Caller, Trace: r.Trace, Advisory: encodeAdvisory(r.Advisory, now),
 	}
 	w.Body, rest = splitBody(r.Body)
 	w.BodySize = len(rest)
@@ -105,7 +124,7 @@
 	return &Request{
 		ID: w.ID, Method: w.Method, Host: w.Host, URI: w.URI, Header: fields, Body: w.Body,
 		Deadline: now.Add(left), TargetTime: targetTime(w.TargetLeftMS, now), Key: w.Key, Service: ident.Service(w.Service),
-		Route: w.Route, Priority: w.Priority, Caller: w.Caller, Trace: w.Trace,
+		Route: w.Route, Priority: w.Priority, Caller: w.Caller, Trace: w.Trace, Advisory: decodeAdvisory(w.Advisory, now),
 	}, w.BodySize, nil
 }
 
@@ -132,10 +151,11 @@
 
 // encodeAnswer returns the encoded head of a and the body that must follow it, if the
 // body is too long for the head.
-func encodeAnswer(a *Answer) (head, rest []byte, err error) {
+func encodeAnswer(a *Answer, now ident.Instant) (head, rest []byte, err error) {
 	w := wireAnswer{
 		Status: a.Status, Header: flattenFields(a.Header), ReachedBackend: a.ReachedBackend,
 		Load: [3]int{a.Load.Running, a.Load.Waiting, a.Load.Slots}, ServiceTimeMS: a.ServiceTime.Milliseconds(),
+		Advisory: encodeAdvisory(a.Advisory, now),
 	}
 	if e := a.Failure; e != nil {
 		w.Failure = &wireFailure{Kind: uint8(e.Kind), Truth: string(e.Answer().Truth), Detail: e.Detail, RetryMS: e.RetryAfter.Milliseconds()}
@@ -148,7 +168,7 @@
 
 // decodeAnswer returns the answer in head and the length in bytes of the body that
 // follows it on the stream.
-func decodeAnswer(head []byte) (*Answer, int, error) {
+func decodeAnswer(head []byte, now ident.Instant) (*Answer, int, error) {
 	var w wireAnswer
 	if err := codec.Unmarshal(head, &w); err != nil {
 		return nil, 0, fmt.Errorf("hop: answer: %w", err)
@@ -158,6 +178,7 @@
 		return nil, 0, err
 	}
 	a := &Answer{Status: w.Status, Header: fields, Body: w.Body, ReachedBackend: w.ReachedBackend, Load: Load{w.Load[0], w.Load[1], w.Load[2]}}
+	a.Advisory = decodeAdvisory(w.Advisory, now)
 	a.ServiceTime = min(max(time.Duration(w.ServiceTimeMS)*time.Millisecond, 0), maxPeerDuration)
 	if f := w.Failure; f != nil {
 		a.Failure = &errkind.Error{
@@ -168,6 +189,35 @@
 	return a, w.BodySize, nil
 }
 
+// encodeAdvisory returns the encoding of an advisory, nil for nil.
+func encodeAdvisory(a *advisory.Advisory, now ident.Instant) *wireAdvisory {
+	if a == nil {
+		return nil
+	}
+	w := &wireAdvisory{ID: a.Instance.ID, StartedMS: a.Instance.StartedMS, Limit: a.Limit, LeavingMS: noLeave}
+	if a.Leaving {
+		w.LeavingMS = max(now.Sub(a.LeavingSince).Milliseconds(), 0)
+	}
+	return w
+}
+
+// decodeAdvisory is the inverse of encodeAdvisory. It converts the time since the leave to
+// an instant on the local clock, and drops a limit that is not a positive number.
+func decodeAdvisory(w *wireAdvisory, now ident.Instant) *advisory.Advisory {
+	if w == nil {
+		return nil
+	}
+	a := &advisory.Advisory{Instance: roster.Instance{ID: w.ID, StartedMS: w.StartedMS}}
+	if w.Limit > 0 && !math.IsInf(w.Limit, 0) {
+		a.Limit = w.Limit
+	}
+	if w.LeavingMS >= 0 {
+		age := time.Duration(min(w.LeavingMS, maxPeerDuration.Milliseconds())) * time.Millisecond
+		a.Leaving, a.LeavingSince = true, now.Add(-age)
+	}
+	return a
+}
+
 // flattenFields returns the names and values of fields alternately.
 func flattenFields(fields []Field) []string {
 	out := make([]string, 0, 2*len(fields))
--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"sync"
 
+	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/balance"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
@@ -25,6 +26,7 @@
 	mu        sync.Mutex // guards the fields below
 	estimator *balance.Estimator
 	rng       *rand.Rand
+	book      *advisory.Book // what answers to requests of this daemon said of the servers
 }
 
 // ChooseTarget implements edge.Chooser.
@@ -99,10 +101,12 @@
 	return balance.OtherRegion
 }
 
-// RecordSent implements edge.Chooser.
-func (c *chooser) RecordSent(t edge.Target, _ *hop.Request) {
+// RecordSent implements edge.Chooser. It adds to the request what is known of the target's
+// server.
+func (c *chooser) RecordSent(t edge.Target, r *hop.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.Advisory = c.book.Of(t.Peer.Member.Host)
 	c.estimator.RecordSent(c.clock.Now(), t.Peer.Member.Host)
 }
 
@@ -110,6 +114,7 @@
 func (c *chooser) RecordAnswer(t edge.Target, r *hop.Request, a *hop.Answer) {
 	now := c.clock.Now()
 	c.mu.Lock()
+	c.book.Record(t.Peer.Member.Host, a.Advisory, a.Failure == nil)
 	c.estimator.RecordEnd(now, t.Peer.Member.Host, a.Failure != nil && a.Failure.Kind != errkind.Canceled, a.Load.Running, a.Load.Waiting, r.Route, a.ServiceTime)
 	c.mu.Unlock()
 	if t.Local {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/burdockfold/burdockfold/internal/admitting"
 	"github.com/burdockfold/burdockfold/internal/bootclock"
 	"github.com/burdockfold/burdockfold/internal/core/admission"
+	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/balance"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
@@ -201,6 +202,7 @@
 	targetChooser := &chooser{
 		peers: d.peers, ownership: d.ownership, clock: d.clock,
 		estimator: balance.NewEstimator(balance.DefaultCosts()),
+		book:      advisory.NewBook(),
 		rng:       rand.New(rand.NewPCG(uint64(d.member.Incarnation), uint64(os.Getpid()))),
 	}
 	budget := edge.Budget{Window: d.cfg.Retries.Window, Ratio: d.cfg.Retries.Ratio, Allowance: d.cfg.Retries.Allowance}
--- a/internal/sidecar/executor.go
+++ b/internal/sidecar/executor.go
@@ -41,10 +41,12 @@
 // Serve implements hop.Handler.
 func (x *executor) Serve(ctx context.Context, r *hop.Request) *hop.Answer {
 	arrived := x.clock.Now()
+	x.server.recordPeerAdvisory(r.Advisory)
 	end := x.tracer.Start(r, "burdock.execute", trace.SpanKindClient)
 	a := x.admitAndRun(ctx, r)
 	end(a)
 	l := x.gate.SlotUsage()
+	a.Advisory = x.server.advisory()
 	a.Load = hop.Load{Running: l.Running, Waiting: l.Waiting, Slots: x.server.rosterEntry().Slots}
 	x.metrics.recordServiceTime(r.Route, a.ServiceTime)
 	if e := a.Failure; e != nil {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -138,6 +138,33 @@
 	}
 }
 
+// recordPeerAdvisory applies what another daemon knows of the server from earlier
+// answers. a may be nil.
+func (s *server) recordPeerAdvisory(a *advisory.Advisory) {
+	if a == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.statements.Limit()
+	s.statements.RecordPeer(*a)
+	if limit := s.statements.Limit(); limit != before {
+		s.gate.SetLimit(limit)
+		s.log.Info("server_limit_from_peer", zap.String("server", a.Instance.ID), zap.Float64("per_second", limit))
+	}
+}
+
+// advisory returns what other daemons must know of the server, nil if nothing.
+func (s *server) advisory() *advisory.Advisory {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.statements.Limit()
+	if limit == 0 {
+		return nil
+	}
+	return &advisory.Advisory{Instance: s.instance, Limit: limit}
+}
+
 // limit returns the limit that the server states, in requests per second; zero if there
 // is none.
 func (s *server) limit() float64 {
