A late heartbeat does not give keys back to a server that left

After a server had announced its leave by DELETE, a heartbeat of it that came later and did not know of the leave made the ownership take the server for one that keeps serving: the daemon refused its requests, but its keys were granted again instead of being handed off. The heartbeat was marked as draining in a copy that only the daemon's own state saw.

TestHeartbeatDoesNotUndoKnownLeave fails if the mark is set on the copy.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -51,7 +51,7 @@
 
 // HandleHeartbeat implements ServerPort.
 func (s *server) HandleHeartbeat(hb Heartbeat) *keyrange.Grant {
-	changed, stale := s.updateState(hb)
+	changed, stale := s.updateState(&hb)
 	if stale {
 		s.log.Warn("server_heartbeat_stale", zap.String("server", hb.Instance.ID), zap.Int64("born", hb.Instance.StartedMS), zap.Int64("sequence", hb.Sequence))
 		return nil
@@ -67,8 +67,9 @@
 
 // updateState updates the state from a heartbeat. changed reports whether other daemons
 // must learn of the new state. stale reports that the heartbeat is from an earlier
-// instance or out of order; it then has no effect.
-func (s *server) updateState(hb Heartbeat) (changed, stale bool) {
+// instance or out of order; it then has no effect. A heartbeat that does not know of the
+// leave of its instance yet becomes one of a draining server.
+func (s *server) updateState(hb *Heartbeat) (changed, stale bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -74,3 +74,15 @@
 	_, leaving, ok := s.target("s")
 	assert.Assert(t, !leaving && ok, "a new life starts afresh")
 }
+
+// A heartbeat that was sent before a leave was known told the ownership that the server
+// keeps serving, so that its keys stayed where they were.
+func TestHeartbeatDoesNotUndoKnownLeave(t *testing.T) {
+	clock := &manualClock{now: ident.Instant(time.Hour)}
+	s := newTestServer(clock)
+	s.HandleHeartbeat(newHeartbeat(5, 1))
+	s.HandleLeave("i")
+	hb := newHeartbeat(5, 2)
+	_, stale := s.updateState(&hb)
+	assert.Assert(t, !stale && hb.Draining)
+}
