A leave that a server states in its answers binds like an announced one

Nobody read the header in which a leaving server says so in its answers. A server whose heartbeats did not say so, or only later, went on getting requests: one arrived 2.50 s after the leave was known, with a drain time of 2.5 s, and with the daemon beside the server restarted the time began anew.

An answer that states the leave now has the effect of a draining heartbeat: no request of a pooled service, keys are handed off, nothing at all once the drain time is over. The advisory between daemons carries the leave with its age, so that a restarted daemon counts from the time at which the others were told, not from its own start.

--- a/internal/core/keyrange/grant.go
+++ b/internal/core/keyrange/grant.go
@@ -137,6 +137,10 @@
 // process has ended.
 func (a *Agent) ServerLost() { a.serverLost, a.ready = true, false }
 
+// ServerDraining records that the server will stop soon, as a heartbeat of a draining
+// server does.
+func (a *Agent) ServerDraining() { a.draining, a.ready = true, false }
+
 // isReleased reports whether the server certainly holds no key of a span and will
 // not hold one without another grant. That is so if every grant has expired, or if
 // the server omitted the span from a heartbeat that it sent after the last answer
--- a/internal/sidecar/ownership.go
+++ b/internal/sidecar/ownership.go
@@ -140,6 +140,15 @@
 	}
 }
 
+// handleServerDraining informs the agent of a service that its server will stop soon.
+func (o *ownership) handleServerDraining(s ident.Service) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if a := o.agents[s]; a != nil {
+		a.ServerDraining()
+	}
+}
+
 // mayServe reports whether the server beside the daemon may hold a key now.
 func (o *ownership) mayServe(s ident.Service, k keyrange.Key) bool {
 	o.mu.Lock()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -102,10 +102,7 @@
 // keys that it holds, until their grants end.
 func (s *server) HandleLeave(id string) {
 	s.mu.Lock()
-	known := s.instance.ID == id && !s.leaving
-	if known {
-		s.leaving, s.leavingSince = true, s.clock.Now()
-	}
+	known := s.instance.ID == id && s.markLeaving(s.instance, s.clock.Now())
 	service := s.service
 	s.mu.Unlock()
 	s.log.Info("server_leaves", zap.String("server", id), zap.Bool("known", known))
@@ -115,6 +112,28 @@
 	}
 }
 
+// markLeaving records that an instance has been known to leave since an instant, and
+// reports whether that is new. The caller holds s.mu.
+func (s *server) markLeaving(i roster.Instance, since ident.Instant) bool {
+	if i != s.instance || i.ID == "" {
+		return false
+	}
+	if s.leaving {
+		s.leavingSince = min(s.leavingSince, since)
+		return false
+	}
+	s.leaving, s.leavingSince = true, since
+	return true
+}
+
+// handleLeaveStated makes the ownership and the other daemons follow a leave that was
+// learned from answers. The server still sends heartbeats.
+func (s *server) handleLeaveStated(i roster.Instance, service ident.Service, source string) {
+	s.log.Info("server_states_leave", zap.String("server", i.ID), zap.String("service", string(service)), zap.String("source", source))
+	s.ownership.handleServerDraining(service)
+	s.onChange()
+}
+
 // HandleMalformed implements ServerPort.
 func (s *server) HandleMalformed(id string, err error) {
 	s.log.Warn("server_heartbeat_malformed", zap.String("server", id), zap.Error(err))
@@ -130,7 +149,12 @@
 	if limit != before {
 		s.gate.SetLimit(limit)
 	}
+	leaves := st.Leaving && s.markLeaving(i, s.clock.Now())
+	service := s.service
 	s.mu.Unlock()
+	if leaves {
+		s.handleLeaveStated(i, service, "answer")
+	}
 	if st.InvalidLimit != "" {
 		s.log.Warn("server_limit_invalid", zap.String("server", i.ID), zap.String("limit", st.InvalidLimit))
 	}
@@ -146,13 +170,21 @@
 		return
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	before := s.statements.Limit()
 	s.statements.RecordPeer(*a)
-	if limit := s.statements.Limit(); limit != before {
+	limit := s.statements.Limit()
+	if limit != before {
 		s.gate.SetLimit(limit)
+	}
+	leaves := a.Leaving && s.markLeaving(a.Instance, a.LeavingSince)
+	service := s.service
+	s.mu.Unlock()
+	if limit != before {
 		s.log.Info("server_limit_from_peer", zap.String("server", a.Instance.ID), zap.Float64("per_second", limit))
 	}
+	if leaves {
+		s.handleLeaveStated(a.Instance, service, "peer")
+	}
 }
 
 // advisory returns what other daemons must know of the server, nil if nothing.
@@ -160,10 +192,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit := s.statements.Limit()
-	if limit == 0 {
+	if limit == 0 && !s.leaving {
 		return nil
 	}
-	return &advisory.Advisory{Instance: s.instance, Limit: limit}
+	return &advisory.Advisory{Instance: s.instance, Limit: limit, Leaving: s.leaving, LeavingSince: s.leavingSince}
 }
 
 // limit returns the limit that the server states, in requests per second; zero if there
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/burdockfold/burdockfold/internal/admitting"
 	"github.com/burdockfold/burdockfold/internal/core/admission"
+	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
@@ -78,11 +79,39 @@
 // A heartbeat that was sent before a leave was known told the ownership that the server
 // keeps serving, so that its keys stayed where they were.
 func TestHeartbeatDoesNotUndoKnownLeave(t *testing.T) {
+	for name, leave := range map[string]func(*server){
+		"answer": func(s *server) {
+			s.recordStatement(s.instance, advisory.Statement{Leaving: true}, s.clock.Now())
+		},
+		"peer": func(s *server) {
+			s.recordPeerAdvisory(&advisory.Advisory{Instance: s.instance, Leaving: true, LeavingSince: s.clock.Now()})
+		},
+		"leave": func(s *server) { s.HandleLeave("i") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := &manualClock{now: ident.Instant(time.Hour)}
+			s := newTestServer(clock)
+			s.HandleHeartbeat(newHeartbeat(5, 1))
+			leave(s)
+			hb := newHeartbeat(5, 2)
+			_, stale := s.updateState(&hb)
+			assert.Assert(t, !stale && hb.Draining)
+			_, leaving, _ := s.target("s")
+			assert.Assert(t, leaving)
+		})
+	}
+}
+
+// A leave that another daemon was told of counts from then on, also in a daemon that
+// started later; one of an earlier instance does not count.
+func TestLeaveKnownToPeersCountsFromTheirKnowledge(t *testing.T) {
 	clock := &manualClock{now: ident.Instant(time.Hour)}
 	s := newTestServer(clock)
 	s.HandleHeartbeat(newHeartbeat(5, 1))
-	s.HandleLeave("i")
-	hb := newHeartbeat(5, 2)
-	_, stale := s.updateState(&hb)
-	assert.Assert(t, !stale && hb.Draining)
+	s.recordPeerAdvisory(&advisory.Advisory{Instance: roster.Instance{ID: "i", StartedMS: 4}, Leaving: true, LeavingSince: clock.now.Add(-time.Minute)})
+	_, leaving, ok := s.target("s")
+	assert.Assert(t, !leaving && ok)
+	s.recordPeerAdvisory(&advisory.Advisory{Instance: s.instance, Leaving: true, LeavingSince: clock.now.Add(-3 * time.Second)})
+	_, leaving, ok = s.target("s")
+	assert.Assert(t, leaving && !ok)
 }
