Owners beside limited servers hand off the keys that the limit cannot serve

With the limit kept, a third of the requests for the keys of limited servers was refused while other servers had free slots: balance goes by slots in use, and a limited server has free ones. Such a server even received keys.

The daemon beside a limited server measures how many requests arrive per second against the limit and hands off the excess in few ranges, the busiest per key first, to servers with room and without a limit. Nobody moves or assigns keys to a limited server while there is another; for pooled services a limit counts as the slots that its requests occupy. Limits reach the other daemons with the state of the server.

--- a/internal/admitting/gate.go
+++ b/internal/admitting/gate.go
@@ -55,6 +55,14 @@
 	return SlotUsage{Running: g.core.RunningCount(), Waiting: g.core.WaitingCount()}
 }
 
+// LimitUse returns the requests that arrive per second as a fraction of the limit; zero
+// without a limit.
+func (g *Gate) LimitUse() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.LimitUse(g.clock.Now())
+}
+
 // SetSlots changes the number of slots and the minimum number of slots that are
 // reserved for short classes.
 func (g *Gate) SetSlots(slots, reserved int) {
--- a/internal/core/admission/core.go
+++ b/internal/core/admission/core.go
@@ -130,6 +130,7 @@
 	reserve             slotReserve
 	inflow              inflow
 	limit               startLimit
+	arrivals            inflow          // of all requests, late and refused ones too
 	freeTimesBuf        []time.Duration // buffer that slotFreeTimes reuses
 }
 
@@ -169,6 +170,7 @@
 		return c.expireQueued(now, []Command{Refuse{ID: a.ID, Reason: NoSlots}})
 	}
 	c.limit.refill(now)
+	c.arrivals.add(0, now)
 	c.reactivateTenant(a.Tenant)
 	w := c.newWaitingRequest(a, now)
 	cmds := c.expireQueued(now, nil)
--- a/internal/core/admission/limit.go
+++ b/internal/core/admission/limit.go
@@ -72,6 +72,16 @@
 	return c.dispatch(now, nil)
 }
 
+// LimitUse returns the requests that arrive per second, by an average over inflowWindow, as
+// a fraction of the limit; zero without a limit.
+func (c *Core) LimitUse(now ident.Instant) float64 {
+	if c.limit.perSecond == 0 {
+		return 0
+	}
+	c.arrivals.decay(now)
+	return c.arrivals.requests / inflowWindow.Seconds() / c.limit.perSecond
+}
+
 // queuePosition returns the number of queued requests that are ordered before w.
 func (c *Core) queuePosition(w *waitingRequest) int {
 	n := len(c.queue)
--- a/internal/core/balance/estimate.go
+++ b/internal/core/balance/estimate.go
@@ -44,8 +44,9 @@
 	Host        ident.Host
 	Distance    Distance
 	Slots       int
-	Cold        bool // started recently and still slow
-	Unreachable bool // a call failed, and no sign of life has arrived since
+	Limit       float64 // requests per second that it accepts; zero if it states no limit
+	Cold        bool    // started recently and still slow
+	Unreachable bool    // a call failed, and no sign of life has arrived since
 }
 
 // observation is what this daemon observed of one server.
@@ -120,6 +121,10 @@
 		service *= 2
 	}
 	slots := float64(max(o.Slots, 1))
+	if o.Limit > 0 {
+		// By Little's law, a limit is as good as the slots that its requests occupy.
+		slots = min(slots, o.Limit*e.costs.DefaultServiceTime.Seconds())
+	}
 	age := now.Sub(s.reportedAt).Seconds()
 	others := s.othersUsage * math.Exp2(-age/e.costs.ReportHalfLife.Seconds())
 	// A server slows down as its slots fill; beyond its slots, requests wait.
--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -36,6 +36,8 @@
 	Expected    bool    // its host is listed for the service
 	Slots       int     // number of requests that the server runs at once
 	Utilization float64 // (slots in use + waiting requests) / slots
+	Limited     bool    // states a limit on its requests per second
+	LimitUse    float64 // requests that arrive per second / limit; known of the agent's own server only
 }
 
 // handoff is a range that the agent plans to move to another server. It is part of
--- a/internal/core/keyrange/balance.go
+++ b/internal/core/keyrange/balance.go
@@ -26,7 +26,7 @@
 	}
 	a.load.decay(a.cfg.BalanceInterval)
 	a.nextBalanceAt = now.Add(a.cfg.BalanceInterval)
-	if !a.shareSurplus(cs) && a.handOffHotBuckets(cs) {
+	if a.handOffExcess(cs) || !a.shareSurplus(cs) && a.handOffHotBuckets(cs) {
 		a.nextBalanceAt = now.Add(a.cfg.BalanceCooldown)
 	}
 }
@@ -50,6 +50,7 @@
 		fair := float64(int(MaxKey)+1) * float64(c.Slots) / float64(slots)
 		keys := a.table.KeyCount(c.Owner.Member.Host)
 		switch {
+		case c.Limited:
 		case float64(keys) < fewKeysFactor*fair:
 			receivers = append(receivers, c)
 		case float64(keys) > surplusKeysFactor*fair:
@@ -146,6 +147,7 @@
 	owner            Owner
 	utilization      float64
 	giverUtilization float64 // utilization of the giver before the handoffs
+	slots            int     // number of requests that the server runs at once
 }
 
 // loadReceivers returns the servers with a much lower utilization than the server
@@ -165,8 +167,8 @@
 		}
 	}
 	for _, c := range cs {
-		if c.Ready && c.Alive && c.Owner != a.selfOwner() && c.Utilization <= receiverFactor*utilization && c.Utilization < maxReceiverLoad {
-			to = append(to, &receiver{owner: c.Owner, utilization: c.Utilization, giverUtilization: utilization})
+		if c.Ready && c.Alive && !c.Limited && c.Owner != a.selfOwner() && c.Utilization <= receiverFactor*utilization && c.Utilization < maxReceiverLoad {
+			to = append(to, &receiver{owner: c.Owner, utilization: c.Utilization, giverUtilization: utilization, slots: c.Slots})
 		}
 	}
 	return to, utilization, mean / float64(max(n, 1))
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -267,6 +267,7 @@
 		owner Owner
 		keys  int
 	}
+	cs = withoutLimited(cs)
 	slots, keys := 0, s.Len()
 	for _, c := range cs {
 		if c.Ready && c.Alive {
@@ -305,12 +306,23 @@
 	return t
 }
 
+// withoutLimited returns the candidates that state no limit, or all of them if none of
+// those can receive keys.
+func withoutLimited(cs []Candidate) []Candidate {
+	out := slices.DeleteFunc(slices.Clone(cs), func(c Candidate) bool { return c.Limited })
+	if slices.ContainsFunc(out, func(c Candidate) bool { return c.Ready && c.Alive }) {
+		return out
+	}
+	return cs
+}
+
 // leastLoaded returns the ready candidate of another host with the lowest sum of
 // utilization and share of all keys, counting planned handoffs.
 func (a *Agent) leastLoaded(cs []Candidate) (Candidate, bool) {
 	best, found, bestUse := Candidate{}, false, 0.0
-	for _, c := range cs {
-		if !c.Ready || !c.Alive || c.Owner.Member.Host == a.member.Host {
+	others := slices.DeleteFunc(slices.Clone(cs), func(c Candidate) bool { return c.Owner.Member.Host == a.member.Host })
+	for _, c := range withoutLimited(others) {
+		if !c.Ready || !c.Alive {
 			continue
 		}
 		keys := a.table.KeyCount(c.Owner.Member.Host)
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -35,6 +35,7 @@
 	Service  ident.Service `codec:"s"`
 	State    State         `codec:"t"`
 	Slots    int           `codec:"n"`
+	Limit    float64       `codec:"r"` // requests per second that it accepts from all hosts together; zero if it states no limit
 	ColdMS   int64         `codec:"c"` // milliseconds that it stays slow after its start; zero if it does not report them
 }
 
--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -78,7 +78,7 @@
 	options := make([]balance.Option, len(ps))
 	for i, p := range ps {
 		options[i] = balance.Option{
-			Host: p.Member.Host, Distance: c.distance(p.Location), Slots: p.Server.Slots,
+			Host: p.Member.Host, Distance: c.distance(p.Location), Slots: p.Server.Slots, Limit: p.Server.Limit,
 			Cold: now < p.ColdUntil, Unreachable: p.UnreachableSince > 0,
 		}
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -332,6 +332,7 @@
 func (p *peers) candidates(s ident.Service) []keyrange.Candidate {
 	owners, witnesses := p.ownership.ownersOf(s)
 	direct := p.hearsMembers(s, witnesses)
+	limitUse := p.gate.LimitUse()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -340,14 +341,19 @@
 		if q.Server.Service != s && !owners[q.Member.Host] {
 			return
 		}
-		out = append(out, keyrange.Candidate{
+		c := keyrange.Candidate{
 			Owner:       keyrange.Owner{Member: q.Member, Instance: q.Server.Instance},
 			Ready:       q.Server.Service == s && q.Server.State == roster.Ready && !q.Leaving && (q.LogCurrent || q.Member == p.self),
 			Alive:       p.isAlive(q, direct, now),
 			Expected:    q.Server.Service == s,
 			Slots:       q.Server.Slots,
 			Utilization: q.Utilization,
-		})
+			Limited:     q.Server.Limit > 0,
+		}
+		if q.Member == p.self {
+			c.LimitUse = limitUse
+		}
+		out = append(out, c)
 	})
 	return out
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -24,6 +25,10 @@
 // cover the transmission of a request to the server.
 const drainMargin = 500 * time.Millisecond
 
+// publishedLimitError is by what fraction the limit that the other daemons know may differ
+// from the one in force beside the server. They only choose servers by it.
+const publishedLimitError = 0.2
+
 // server tracks the state of the backend server beside the daemon, from its heartbeats
 // and from refused connections. It implements ServerPort.
 type server struct {
@@ -47,6 +52,7 @@
 	coldUntil     ident.Instant // the server is slow until then
 	lastHeartbeat ident.Instant
 	statements    advisory.Tracker // what the server states in its answers
+	published     float64          // its limit as the other daemons know it
 }
 
 // HandleHeartbeat implements ServerPort.
@@ -92,6 +98,7 @@
 	if !same {
 		s.statements.SetInstance(hb.Instance)
 		s.gate.SetLimit(s.statements.Limit())
+		s.published = s.statements.Limit()
 	}
 	s.instance, s.service, s.addr, s.slots, s.sequence = hb.Instance, hb.Service, hb.Addr, hb.Slots, hb.Sequence
 	s.leaving, s.lost, s.lastHeartbeat = hb.Draining, false, now
@@ -149,9 +156,13 @@
 	if limit != before {
 		s.gate.SetLimit(limit)
 	}
+	publish := s.publishLimit(limit)
 	leaves := st.Leaving && s.markLeaving(i, s.clock.Now())
 	service := s.service
 	s.mu.Unlock()
+	if publish {
+		s.onChange()
+	}
 	if leaves {
 		s.handleLeaveStated(i, service, "answer")
 	}
@@ -163,6 +174,17 @@
 	}
 }
 
+// publishLimit sets the limit that the other daemons know, and reports whether they must
+// be told. Small changes are not told: a server may name another limit in each answer.
+// The caller holds s.mu.
+func (s *server) publishLimit(limit float64) bool {
+	if math.Abs(limit-s.published) <= publishedLimitError*s.published && (limit == 0) == (s.published == 0) {
+		return false
+	}
+	s.published = limit
+	return true
+}
+
 // recordPeerAdvisory applies what another daemon knows of the server from earlier
 // answers. a may be nil.
 func (s *server) recordPeerAdvisory(a *advisory.Advisory) {
@@ -176,12 +198,16 @@
 	if limit != before {
 		s.gate.SetLimit(limit)
 	}
+	publish := s.publishLimit(limit)
 	leaves := a.Leaving && s.markLeaving(a.Instance, a.LeavingSince)
 	service := s.service
 	s.mu.Unlock()
 	if limit != before {
 		s.log.Info("server_limit_from_peer", zap.String("server", a.Instance.ID), zap.Float64("per_second", limit))
 	}
+	if publish {
+		s.onChange()
+	}
 	if leaves {
 		s.handleLeaveStated(a.Instance, service, "peer")
 	}
@@ -264,7 +290,7 @@
 func (s *server) rosterEntry() roster.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := roster.Server{Instance: s.instance, Service: s.service, Slots: s.slots}
+	e := roster.Server{Instance: s.instance, Service: s.service, Slots: s.slots, Limit: s.published}
 	switch {
 	case s.instance.ID == "" || s.lost:
 	case s.leaving:
