Log the era of the store and truncated reads

Logs could not tell whether a store that had come back was the same as before: the era that it states was read by nobody, and a poll answered 410 left no line. The daemon logs store_era when the era rises and stream_truncated for each such poll. The stand-in store can come back from a copy. No logic depends on it.

--- a/internal/logservice/keyed.go
+++ b/internal/logservice/keyed.go
@@ -34,6 +34,9 @@
 // KeyedLog is a log service whose streams keep the newest record of each key for
 // good. Implementations are safe for concurrent use.
 type KeyedLog interface {
+	// Era returns the newest era that an answer has shown. It rises each time the log
+	// comes back from a copy, without the records that were appended after the copy.
+	Era() uint64
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, s Stream) (Newest, error)
 	// Poll returns the records from an offset on. Without one it waits, at most
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	d.adapter.Log = countingLog{KeyedLog: d.adapter.Log, calls: d.metrics.calls}
+	d.adapter.Log = &observedLog{KeyedLog: d.adapter.Log, calls: d.metrics.calls, log: d.log}
 	return nil
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/zap"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
@@ -137,13 +139,17 @@
 	}
 }
 
-// countingLog counts the calls to a keyed log by kind and outcome.
-type countingLog struct {
+// observedLog counts the calls to a keyed log by kind and outcome, and logs what its answers
+// show of its history.
+type observedLog struct {
 	logservice.KeyedLog
 	calls metric.Int64Counter
+	log   *zap.Logger
+	era   atomic.Uint64 // last era that was logged
 }
 
-func (l countingLog) countCall(call string, err error) {
+func (l *observedLog) countCall(call string, err error) {
+	l.observeEra()
 	outcome := "ok"
 	switch {
 	case errors.Is(err, context.Canceled):
@@ -152,6 +158,7 @@
 		outcome = "moved"
 	case errors.Is(err, logservice.ErrTruncated):
 		outcome = "truncated"
+		l.log.Warn("stream_truncated", zap.String("call", call), zap.Error(err))
 	case errors.Is(err, logservice.ErrOutcomeUnknown):
 		outcome = "unknown"
 	case err != nil:
@@ -160,29 +167,37 @@
 	count(l.calls, attribute.String("call", call), attribute.String("outcome", outcome))
 }
 
+// observeEra logs the era of the log when it has risen.
+func (l *observedLog) observeEra() {
+	era := l.KeyedLog.Era()
+	if before := l.era.Load(); era > before && l.era.CompareAndSwap(before, era) {
+		l.log.Info("store_era", zap.Uint64("era", era), zap.Uint64("before", before))
+	}
+}
+
 // Newest implements logservice.KeyedLog.
-func (l countingLog) Newest(ctx context.Context, s logservice.Stream) (logservice.Newest, error) {
+func (l *observedLog) Newest(ctx context.Context, s logservice.Stream) (logservice.Newest, error) {
 	n, err := l.KeyedLog.Newest(ctx, s)
 	l.countCall("newest", err)
 	return n, err
 }
 
 // Poll implements logservice.KeyedLog.
-func (l countingLog) Poll(ctx context.Context, s logservice.Stream, from ident.Offset, wait time.Duration) (logservice.Changes, error) {
+func (l *observedLog) Poll(ctx context.Context, s logservice.Stream, from ident.Offset, wait time.Duration) (logservice.Changes, error) {
 	c, err := l.KeyedLog.Poll(ctx, s, from, wait)
 	l.countCall("poll", err)
 	return c, err
 }
 
 // Put implements logservice.KeyedLog.
-func (l countingLog) Put(ctx context.Context, s logservice.Stream, key string, value []byte) error {
+func (l *observedLog) Put(ctx context.Context, s logservice.Stream, key string, value []byte) error {
 	err := l.KeyedLog.Put(ctx, s, key, value)
 	l.countCall("put", err)
 	return err
 }
 
 // PutAt implements logservice.KeyedLog.
-func (l countingLog) PutAt(ctx context.Context, s logservice.Stream, at ident.Offset, key string, value []byte) error {
+func (l *observedLog) PutAt(ctx context.Context, s logservice.Stream, at ident.Offset, key string, value []byte) error {
 	err := l.KeyedLog.PutAt(ctx, s, at, key, value)
 	l.countCall("put_at", err)
 	return err
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -3,7 +3,7 @@
 // It serves the store's HTTP calls that append to keyed topics of one partition,
 // read their records and list the newest record of each key. It keeps the records
 // in memory. A test can make it leave calls unanswered, refuse them, lose the
-// answers to appends or delay appends.
+// answers to appends, delay appends, or come back from a copy.
 package metastore
 
 import (
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -42,6 +43,7 @@
 	topics  map[string][][]byte // records by topic; a record's index is its offset
 	fault   Fault
 	calls   int
+	era     int           // rises with each Restore
 	changed chan struct{} // closed and replaced after each append
 	stop    chan struct{} // closed by Close
 }
@@ -78,6 +80,34 @@
 	s.fault = f
 }
 
+// Copy is a copy of the store's records.
+type Copy struct{ topics map[string][][]byte }
+
+// Copy returns a copy of the present records.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{topics: make(map[string][][]byte, len(s.topics))}
+	for name, records := range s.topics {
+		c.topics[name] = slices.Clone(records)
+	}
+	return c
+}
+
+// Restore makes the store come back from a copy: what was appended since is gone, and the
+// era rises. Pending reads end without an answer.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.topics = make(map[string][][]byte, len(c.topics))
+	for name, records := range c.topics {
+		s.topics[name] = slices.Clone(records)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // CallCount returns the number of calls that have arrived.
 func (s *Store) CallCount() int {
 	s.mu.Lock()
@@ -106,7 +136,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls++
-		fault := s.fault
+		fault, era := s.fault, s.era
 		s.mu.Unlock()
 		switch fault {
 		case NoAnswer:
@@ -118,6 +148,7 @@
 		case RefuseCalls:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		default:
+			w.Header().Set("Store-Era", strconv.Itoa(era))
 			next(w, r)
 		}
 	}
@@ -182,10 +213,20 @@
 	}
 	wait, _ := strconv.Atoi(q.Get("wait_ms")) // zero if the parameter is missing
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		records, changed := s.topics[q.Get("topic")], s.changed
+		records, changed, restored := s.topics[q.Get("topic")], s.changed, s.era != era
 		s.mu.Unlock()
+		if restored {
+			panic(http.ErrAbortHandler)
+		}
+		if from > len(records) {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(records) > from {
 			writeRecords(w, records, from)
 			return
