--- a/internal/standin/shardserver/server.go
+++ b/internal/standin/shardserver/server.go
@@ -102,6 +102,13 @@
 // Drain makes the following heartbeats announce that the server is draining.
 func (s *Server) Drain() { s.update(func() { s.state = "draining" }) }
 
+// Resume makes the server another instance under its id, which holds no keys.
+func (s *Server) Resume() {
+	s.update(func() {
+		s.state, s.born, s.sequence, s.holds, s.freed = "ready", time.Now().UnixMilli(), 0, nil, nil
+	})
+}
+
 // StopHeartbeats stops the heartbeats. The server still accepts requests.
 func (s *Server) StopHeartbeats() { s.update(func() { s.silent = true }) }
 
