Ownership of keys goes on when the log comes back from a copy

After the store came back from a copy, a daemon that started then took an old table for the newest one and granted keys that another server held (key 0 with two holders), and fencing tokens, which are offsets, were given out again. All other daemons compared the end of the restored stream with what they had read before and ignored it: no key moved any more, and their leases ended after 12 s.

Offsets carry the era of the log, so that those of a later era, and the fencing tokens made of them, are greater than all before. Tables are written under the era of their writer, so that a write executed only after the return changes nothing. A daemon that remembers the table writes it again in the new era; owners go on only with rows that they held without interruption; until every grant of the earlier era has expired nobody moves other rows, and after that they get new fencing tokens.

The random worlds of TestNoTwoServersHoldAKey and TestEveryKeyIsHeldAgain, by heartbeat and by call, now restore the store from copies.

--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -81,9 +81,25 @@
 // KeyHash is the 64-bit hash of a request key.
 type KeyHash uint64
 
-// Offset is a position in a stream of the log service.
+// Offset is a position in a stream of the log service. Its upper bits are the era of the
+// log, which rises each time the log comes back from a copy and gives out the numbers of
+// lost records again: the offsets of a later era are greater than all before it.
 type Offset uint64
 
+// eraShift is the number of bits of an Offset that hold the number of a record. The rest
+// leaves room for eras in the 53 bits of an integer in JSON.
+const eraShift = 32
+
+// OffsetIn returns the offset of the record with a number, counted from the beginning of
+// the stream, in an era of the log.
+func OffsetIn(era, number uint64) Offset { return Offset(era<<eraShift | number) }
+
+// Era returns the era of the log that the offset belongs to.
+func (o Offset) Era() uint64 { return uint64(o) >> eraShift }
+
+// Number returns the number of the record, counted from the beginning of the stream.
+func (o Offset) Number() uint64 { return uint64(o) & (1<<eraShift - 1) }
+
 // Term is the number of a leader's term. Records that a leader wrote in an older term
 // have no effect.
 type Term uint64
--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -85,6 +85,7 @@
 	silentSince     map[ident.Host]ident.Instant // since when each owner that is not alive has been silent
 	objections      map[ident.Host]int           // how often each silent owner has objected to a suspicion
 	support         supportState
+	reopen          reopenState
 	gapSince        ident.Instant
 	nextBalanceAt   ident.Instant
 	load            load
--- a/internal/core/keyrange/call.go
+++ b/internal/core/keyrange/call.go
@@ -146,7 +146,9 @@
 	var rows []Row
 	for _, r := range a.table.Rows {
 		if r.Owner == a.selfOwner() {
-			rows = append(rows, a.retainedRows(r)...)
+			for _, part := range a.retainedRows(r) {
+				rows = append(rows, a.reopen.renewableParts(part)...)
+			}
 		}
 	}
 	return rows
--- a/internal/core/keyrange/diff.go
+++ b/internal/core/keyrange/diff.go
@@ -18,11 +18,12 @@
 	Added     []Row        `codec:"a,omitempty"` // rows of the new table that the former one lacks
 	Suspects  []Suspicion  `codec:"s,omitempty"` // of the new table
 	Witnesses []ident.Host `codec:"g,omitempty"` // of the new table
+	Reopened  ident.Offset `codec:"e,omitempty"` // of the new table
 }
 
 // Diff returns what turns the table into another one.
 func (t Table) Diff(to Table) TableDiff {
-	d := TableDiff{Suspects: to.Suspects, Witnesses: to.Witnesses}
+	d := TableDiff{Suspects: to.Suspects, Witnesses: to.Witnesses, Reopened: to.Reopened}
 	before := rowSet(t.Rows)
 	after := rowSet(to.Rows)
 	for _, r := range t.Rows {
@@ -49,7 +50,7 @@
 // Apply returns the table that a difference leads to. It returns ErrDiffMismatch if a
 // removed row is missing or the result is not a valid table.
 func (t Table) Apply(d TableDiff) (Table, error) {
-	out := Table{Suspects: d.Suspects, Witnesses: d.Witnesses}
+	out := Table{Suspects: d.Suspects, Witnesses: d.Witnesses, Reopened: d.Reopened}
 	removed := make(map[Span]bool, len(d.Removed))
 	for _, s := range d.Removed {
 		removed[s] = true
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -12,12 +12,19 @@
 // candidates are all servers of the service that the daemon knows, including its
 // own; Tick sorts them by host. At most one write is in flight.
 func (a *Agent) Tick(now ident.Instant, cs []Candidate) *Write {
-	if !a.tableKnown || a.writeInFlight || a.tableStale {
+	if !a.tableKnown && !a.reopen.due || a.writeInFlight || a.tableStale {
 		return nil
 	}
 	slices.SortFunc(cs, func(x, y Candidate) int { return cmp.Compare(x.Owner.Member.Host, y.Owner.Member.Host) })
+	if a.reopen.due {
+		return a.send(a.reopenTable(now, cs))
+	}
 	a.trackSilentOwners(now, cs)
-	w := a.plan(now, cs)
+	return a.send(a.plan(now, cs))
+}
+
+// send makes a write the one in flight. w may be nil.
+func (a *Agent) send(w *Write) *Write {
 	if w != nil {
 		w.Offset = a.nextOffset
 		a.writeInFlight = true
@@ -30,7 +37,10 @@
 	if w := a.objectToSuspicion(); w != nil {
 		return w
 	}
-	if w := a.reclaimRows(); w != nil {
+	if w := a.reclaimHeldRows(now); w != nil {
+		return w
+	}
+	if w := a.reclaimRows(now); w != nil {
 		return w
 	}
 	a.handOffAll(now, cs)
@@ -45,6 +55,9 @@
 	if !ok {
 		return nil
 	}
+	if w := a.settle(now, rank); w != nil {
+		return w
+	}
 	if w := a.takeOverSuspects(now, rank, cs); w != nil {
 		return w
 	}
@@ -67,15 +80,15 @@
 // reclaimRows moves the rows of an earlier process of this daemon or an earlier
 // instance of its server to the current ones. Rows of the same instance keep their
 // fencing token, because nobody else held the keys in between, unless the server
-// refused it.
-func (a *Agent) reclaimRows() *Write {
+// refused it or it is from an earlier era of the log.
+func (a *Agent) reclaimRows(now ident.Instant) *Write {
 	if a.instance.ID == "" || !a.ready {
 		return nil
 	}
 	t, changed := a.table.withoutSuspicions(a.member.Host), false
 	for _, r := range a.table.Rows {
-		refused := a.calls.fenced[r.Fence]
-		if r.Owner.Member.Host != a.member.Host || r.Owner == a.selfOwner() && !refused {
+		refused := a.calls.fenced[r.Fence] || !a.reopen.mayRenew(r)
+		if r.Owner.Member.Host != a.member.Host || r.Owner == a.selfOwner() && !refused || !a.mayMove(r, now) {
 			continue
 		}
 		if r.Owner.Instance != a.instance || refused {
@@ -141,7 +154,7 @@
 	a.updateHandoffs(now, cs)
 	t := a.table
 	for _, g := range a.handoffs {
-		if !a.isReleased(g.Span, now) || !a.ownsHandoff(g) {
+		if !a.isReleased(g.Span, now) || !a.ownsHandoff(g) || !a.mayMove(Row{Span: g.Span, Fence: g.fence}, now) {
 			continue
 		}
 		t = t.withRow(Row{Span: g.Span, Owner: g.to, Fence: fenceAt(a.nextOffset), TransferToken: a.transferToken(g.Span)})
@@ -223,7 +236,7 @@
 // assignment also sets the witnesses of the table.
 func (a *Agent) assignGaps(now ident.Instant, rank int, cs []Candidate) *Write {
 	gaps := a.table.Gaps()
-	if len(gaps) == 0 {
+	if len(gaps) == 0 || !a.settled(now) {
 		a.gapSince = 0
 		return nil
 	}
--- a/internal/core/keyrange/read.go
+++ b/internal/core/keyrange/read.go
@@ -46,10 +46,13 @@
 	if gained := t.KeyCount(a.member.Host) > a.table.KeyCount(a.member.Host); gained {
 		a.nextBalanceAt = max(a.nextBalanceAt, now.Add(a.cfg.BalanceCooldown))
 	}
+	a.enterTable(t, next.Era(), now)
 	a.recordLosses(t, next)
 	a.table, a.nextOffset, a.tableKnown, a.tableStale = t, next, true, false
-	if next > a.unclearOffset {
-		a.writeUnclear = false // the write was appended, or never will be
+	if next > a.unclearOffset && (next.Era() == a.unclearOffset.Era() || a.settled(now)) {
+		// The write was appended, or never will be. One of an earlier era may have been
+		// read by its receivers before it was lost.
+		a.writeUnclear = false
 	}
 	a.recordSuspicions(now)
 }
--- a/internal/core/keyrange/sharedworld_test.go
+++ b/internal/core/keyrange/sharedworld_test.go
@@ -38,9 +38,5 @@
 		return
 	}
 	h.readSent = max(h.readSent, sent)
-	table := Table{}
-	if next > 0 {
-		table = sim.store.records[next-1]
-	}
-	h.agent.ApplyRead(table, next, sent, sim.now)
+	sim.store.readAt(next).apply(h.agent, sent, sim.now)
 }
--- a/internal/core/keyrange/suspicion.go
+++ b/internal/core/keyrange/suspicion.go
@@ -72,7 +72,7 @@
 			wait = a.cfg.UnsupportedLease
 		}
 		due := seen.Add(a.cfg.withDrift(a.cfg.withDrift(wait)) + a.cfg.RankDelay*time.Duration(rank))
-		if _, silent := a.silentSince[s.Member.Host]; !ok || !silent || now < due {
+		if _, silent := a.silentSince[s.Member.Host]; !ok || !silent || now < due || !a.mayTakeOver(s.Member, now) {
 			continue
 		}
 		for _, r := range a.table.Rows {
--- a/internal/core/keyrange/table.go
+++ b/internal/core/keyrange/table.go
@@ -113,6 +113,10 @@
 	// They are set together with the first rows and never change, so that any two
 	// majorities of them share a host.
 	Witnesses []ident.Host `codec:"g,omitempty"`
+
+	// Reopened is the offset of the record that took the table over from an earlier era
+	// of the log. It is zero once all grants of that era have expired. See reopen.go.
+	Reopened ident.Offset `codec:"e,omitempty"`
 }
 
 // Find returns the row that contains a key.
@@ -189,7 +193,7 @@
 
 // withoutSpan returns the table with a span that has no owner.
 func (t Table) withoutSpan(s Span) Table {
-	out := Table{Suspects: slices.Clone(t.Suspects), Witnesses: t.Witnesses}
+	out := Table{Suspects: slices.Clone(t.Suspects), Witnesses: t.Witnesses, Reopened: t.Reopened}
 	for _, r := range t.Rows {
 		for _, rest := range r.Span.subtract(s) {
 			part := r
@@ -202,7 +206,7 @@
 
 // withoutSuspicions returns the table without the suspicions against a host.
 func (t Table) withoutSuspicions(h ident.Host) Table {
-	out := Table{Rows: slices.Clone(t.Rows), Witnesses: t.Witnesses}
+	out := Table{Rows: slices.Clone(t.Rows), Witnesses: t.Witnesses, Reopened: t.Reopened}
 	for _, s := range t.Suspects {
 		if s.Member.Host != h {
 			out.Suspects = append(out.Suspects, s)
--- a/internal/core/keyrange/world_test.go
+++ b/internal/core/keyrange/world_test.go
@@ -29,32 +29,83 @@
 	}
 }
 
-// store simulates a keyed stream with one key.
+// store simulates a keyed stream with the tables of one service. It may come back from a
+// copy, which begins another era.
 type store struct {
-	records    []Table // the record at each offset
+	era        uint64
+	histories  [][]record // the records of each era
 	lateWrites []lateWrite
 }
 
+// record is a table and the era in which its writer wrote it.
+type record struct {
+	table Table
+	era   uint64
+}
+
+// storeRead is what the store holds up to an offset.
+type storeRead struct {
+	next  ident.Offset
+	table Table // the newest of the era of next, if found
+	found bool
+	copy  Table // the newest of an earlier era
+}
+
 type lateWrite struct {
 	write Write
 	due   ident.Instant
 }
 
-func (s *store) next() ident.Offset { return ident.Offset(len(s.records)) }
+func newStore() store { return store{histories: [][]record{nil}} }
+
+func (s *store) next() ident.Offset {
+	return ident.OffsetIn(s.era, uint64(len(s.histories[s.era])))
+}
 
-func (s *store) newest() Table {
-	if len(s.records) == 0 {
-		return Table{}
+func (s *store) newest() Table { return s.readAt(s.next()).table }
+
+// readAt returns what a read gave that ended at an offset.
+func (s *store) readAt(next ident.Offset) storeRead {
+	r := storeRead{next: next}
+	copyEra := uint64(0)
+	for _, x := range s.histories[next.Era()][:next.Number()] {
+		switch {
+		case x.era == next.Era():
+			r.table, r.found = x.table, true
+		case x.era >= copyEra:
+			r.copy, copyEra = x.table, x.era
+		}
 	}
-	return s.records[len(s.records)-1]
+	return r
 }
 
-func (s *store) appendAt(w Write) bool {
-	if w.Offset != s.next() {
-		return false
+// appendAt appends a write if the stream has as many records as its writer read. The store
+// does not know in which era that was.
+func (s *store) appendAt(w Write) Outcome {
+	if w.Offset.Number() != s.next().Number() {
+		return Refused
+	}
+	s.histories[s.era] = append(s.histories[s.era], record{w.Table, w.Offset.Era()})
+	if w.Offset.Era() != s.era {
+		return Unclear
 	}
-	s.records = append(s.records, w.Table)
-	return true
+	return Written
+}
+
+// restore makes the store come back from a copy with the first records only.
+func (s *store) restore(records int) {
+	copied := slices.Clone(s.histories[s.era][:records])
+	s.histories = append(s.histories, copied)
+	s.era++
+}
+
+// apply passes a read to an agent.
+func (r storeRead) apply(a *Agent, sent, now ident.Instant) {
+	if r.found {
+		a.ApplyRead(r.table, r.next, sent, now)
+		return
+	}
+	a.EnterEra(r.copy, r.next, sent, now)
 }
 
 // holding is a granted range at a server.
@@ -97,10 +148,9 @@
 }
 
 type pendingRead struct {
-	table Table
-	next  ident.Offset
-	sent  ident.Instant
-	due   ident.Instant
+	storeRead
+	sent ident.Instant
+	due  ident.Instant
 }
 
 type simulation struct {
@@ -120,7 +170,7 @@
 var probeKeys = []Key{0, 1, 9000, 16384, 20000, 30000, 32768, 45000, 50000, 65535}
 
 func newSimulation(t *rapid.T, n int, cfg Config, mode GrantMode) *simulation {
-	sim := &simulation{t: t, mode: mode, cfg: cfg, now: ident.Instant(time.Hour), lastFence: map[Key]uint64{}, lastHolder: map[Key]ident.Host{}}
+	sim := &simulation{t: t, mode: mode, cfg: cfg, now: ident.Instant(time.Hour), store: newStore(), lastFence: map[Key]uint64{}, lastHolder: map[Key]ident.Host{}}
 	for i := range n {
 		h := &host{name: ident.Host(fmt.Sprint("h", i)), instance: roster.Instance{ID: fmt.Sprint("s", i), StartedMS: 1}, unreachableUntil: make(map[ident.Host]ident.Instant)}
 		sim.hosts = append(sim.hosts, h)
@@ -253,7 +303,7 @@
 	for len(h.pendingReads) > 0 && h.pendingReads[0].due <= sim.now {
 		r := h.pendingReads[0]
 		h.pendingReads = h.pendingReads[1:]
-		h.agent.ApplyRead(r.table, r.next, r.sent, sim.now)
+		r.apply(h.agent, r.sent, sim.now)
 		if r.next > h.readNext || r.next == h.readNext && r.sent > h.readSent {
 			h.readNext, h.readSent = r.next, r.sent
 		}
@@ -266,7 +316,7 @@
 	if !sim.faultless {
 		delay = time.Duration(rapid.IntRange(0, 6).Draw(sim.t, "read delay")) * stepInterval
 	}
-	h.pendingReads = append(h.pendingReads, pendingRead{sim.store.newest(), sim.store.next(), sim.now, sim.now.Add(delay)})
+	h.pendingReads = append(h.pendingReads, pendingRead{sim.store.readAt(sim.store.next()), sim.now, sim.now.Add(delay)})
 }
 
 // expireHoldings drops holdings that have expired by a clock that runs slow.
@@ -365,9 +415,8 @@
 		sim.store.lateWrites = append(sim.store.lateWrites, lateWrite{*write, due})
 		h.agent.ApplyOutcome(*write, Unclear, sim.now, sim.now)
 	default:
-		outcome := Refused
-		if sim.store.appendAt(*write) {
-			outcome = Written
+		outcome := sim.store.appendAt(*write)
+		if outcome == Written {
 			sim.publish(h, *write)
 		}
 		h.agent.ApplyOutcome(*write, outcome, sim.now, sim.now)
--- a/internal/logservice/keyed.go
+++ b/internal/logservice/keyed.go
@@ -41,12 +41,15 @@
 	Newest(ctx context.Context, s Stream) (Newest, error)
 	// Poll returns the records from an offset on. Without one it waits, at most
 	// for the time given, and then returns none. ErrTruncated means that records
-	// are gone and Newest has to be read again.
+	// are gone, or that the log has come back from a copy since that offset was given
+	// out, and Newest has to be read again.
 	Poll(ctx context.Context, s Stream, from ident.Offset, wait time.Duration) (Changes, error)
 	// Put appends the record of a key. Errors are those of Log.Append.
 	Put(ctx context.Context, s Stream, key string, value []byte) error
 	// PutAt appends the record of a key if the stream ends at the offset. Besides
-	// the errors of Log.Append it returns ErrMoved.
+	// the errors of Log.Append it returns ErrMoved. The record may be appended after
+	// the log has come back from a copy: a reader must not take it for one that was
+	// written in the later era.
 	PutAt(ctx context.Context, s Stream, at ident.Offset, key string, value []byte) error
 }
 
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -154,7 +154,7 @@
 		pollTime:   d.cfg.Store.PollTime, leasePoll: o.LeasePoll,
 		forwardRead: func(to []ident.Host, m readForward) { d.peers.forwardRead(to, m) },
 		follower:    sharedread.NewFollower(sharedread.DefaultConfig(), d.member.Host), followers: make(map[ident.Host]ident.Instant),
-		agents: make(map[ident.Service]*keyrange.Agent), tables: make(map[ident.Service]versionedTable), readTable: make(map[ident.Service]versionedTable),
+		agents: make(map[ident.Service]*keyrange.Agent), tables: make(map[ident.Service]versionedTable), copies: make(map[ident.Service]copiedTable), readTable: make(map[ident.Service]versionedTable),
 		keysReleased: make(chan struct{}, 1), callsDue: make(chan struct{}, 1),
 		grantCaller: d.adapter.Grants,
 		localServer: func(s ident.Service) (origin.Server, bool) { return d.server.address(s) },
--- a/internal/sidecar/ownership.go
+++ b/internal/sidecar/ownership.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,6 +50,7 @@
 	mu            sync.Mutex // guards the fields below
 	agents        map[ident.Service]*keyrange.Agent
 	tables        map[ident.Service]versionedTable // newest known tables, from the store or a peer
+	copies        map[ident.Service]copiedTable    // newest tables of earlier eras that the log still has
 	readTable     map[ident.Service]versionedTable // tables at nextOffset, by reads of this daemon or its source; followers receive the changes of these
 	nextOffset    ident.Offset                     // end of the stream at the last read
 	synced        bool                             // all tables have been read since the last agent was added
@@ -67,6 +70,35 @@
 	endOffset ident.Offset
 }
 
+// copiedTable is a table that was written in an earlier era of the log.
+type copiedTable struct {
+	keyrange.Table
+	era uint64
+}
+
+// eraSeparator stands between service and era in the keys of the ownership stream.
+const eraSeparator = "@"
+
+// tableKey returns the key under which the tables of a service are written in an era. A
+// write that is executed only after the log has come back from a copy thus changes no
+// table of the later era.
+func tableKey(s ident.Service, era uint64) string {
+	if era == 0 {
+		return string(s)
+	}
+	return string(s) + eraSeparator + strconv.FormatUint(era, 10)
+}
+
+// parseTableKey is the inverse of tableKey.
+func parseTableKey(key string) (s ident.Service, era uint64) {
+	if i := strings.LastIndex(key, eraSeparator); i >= 0 {
+		if n, err := strconv.ParseUint(key[i+len(eraSeparator):], 10, 64); err == nil {
+			return ident.Service(key[:i]), n
+		}
+	}
+	return ident.Service(key), 0
+}
+
 // addAgents adds an agent for each sharded service that has none yet, and sets how the
 // servers receive their grants.
 func (o *ownership) addAgents(sharded []routes.Service) {
@@ -253,7 +285,7 @@
 	outcome, sent := keyrange.Refused, o.clock.Now()
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-		err = o.store.PutAt(ctx, logservice.OwnershipStream, w.Offset, string(s), data)
+		err = o.store.PutAt(ctx, logservice.OwnershipStream, w.Offset, tableKey(s, w.Offset.Era()), data)
 		cancel()
 		outcome = outcomeOf(err)
 	}
--- a/internal/sidecar/ownershipread.go
+++ b/internal/sidecar/ownershipread.go
@@ -122,7 +122,12 @@
 			o.log.Warn("ownership_record_unreadable", zap.String("service", e.Key), zap.Uint64("offset", uint64(e.Offset)), zap.Error(err))
 			continue
 		}
-		service, end := ident.Service(e.Key), e.Offset+1
+		service, era := parseTableKey(e.Key)
+		end := e.Offset + 1
+		if era != next.Era() {
+			o.recordCopy(service, era, t)
+			continue
+		}
 		if e.Offset < o.nextOffset && o.synced {
 			continue
 		}
@@ -156,10 +161,28 @@
 	o.nextOffset = next
 	o.readDue = false
 	o.follower.CaughtUp()
+	o.applyTables(next, sent, answered)
+	o.requestCalls()
+}
+
+// recordCopy records a table of an earlier era. The caller holds o.mu.
+func (o *ownership) recordCopy(s ident.Service, era uint64, t keyrange.Table) {
+	if c, known := o.copies[s]; !known || era >= c.era {
+		o.copies[s] = copiedTable{t, era}
+	}
+}
+
+// applyTables passes a read that reached the offset next to the agents. A table of an
+// earlier era is no proof of what a service's table is in the era of the read. The caller
+// holds o.mu.
+func (o *ownership) applyTables(next ident.Offset, sent, answered ident.Instant) {
 	for s, a := range o.agents {
-		a.ApplyRead(o.tables[s].Table, next, sent, answered)
+		if t := o.tables[s]; t.endOffset.Era() == next.Era() {
+			a.ApplyRead(t.Table, next, sent, answered)
+			continue
+		}
+		a.EnterEra(o.copies[s].Table, next, sent, answered)
 	}
-	o.requestCalls()
 }
 
 // replaceIfNewer stores the table of a service and returns true, unless a newer table is
--- a/internal/sidecar/sharedreads.go
+++ b/internal/sidecar/sharedreads.go
@@ -85,9 +85,7 @@
 		return
 	}
 	o.readSent = max(o.readSent, sent)
-	for s, a := range o.agents {
-		a.ApplyRead(o.tables[s].Table, m.Next, sent, now)
-	}
+	o.applyTables(m.Next, sent, now)
 }
 
 // handleReadForward applies the records that the source has read. It ignores them if
