A handoff that was unclear when the store was restored is written again at once

Only the receiver can hold them by the lost record, so the handoff to it may be written again without the wait. A daemon that remembers a later owner does not grant the keys: the receiver may have passed them on.

--- a/internal/core/keyrange/call.go
+++ b/internal/core/keyrange/call.go
@@ -122,7 +122,7 @@
 		return nil
 	}
 	a.pruneGrants(now)
-	wanted := a.wantedRows()
+	wanted := a.wantedRows(now)
 	calls := a.dueReleases(wanted, now)
 	if !a.serverLost && !a.calls.disconnected {
 		calls = append(calls, a.dueGrants(wanted, now)...)
@@ -142,12 +142,14 @@
 }
 
 // wantedRows returns the rows that the server is to hold.
-func (a *Agent) wantedRows() []Row {
+func (a *Agent) wantedRows(now ident.Instant) []Row {
 	var rows []Row
 	for _, r := range a.table.Rows {
 		if r.Owner == a.selfOwner() {
 			for _, part := range a.retainedRows(r) {
-				rows = append(rows, a.reopen.renewableParts(part)...)
+				for _, renewable := range a.reopen.renewableParts(part) {
+					rows = append(rows, a.withoutContested(renewable, now)...)
+				}
 			}
 		}
 	}
--- a/internal/core/keyrange/grant.go
+++ b/internal/core/keyrange/grant.go
@@ -95,7 +95,7 @@
 	if !a.tableKnown || hold <= 0 {
 		return nil
 	}
-	g := &Grant{Rows: a.wantedRows(), Hold: hold}
+	g := &Grant{Rows: a.wantedRows(now), Hold: hold}
 	for i := range a.handoffs {
 		a.handoffs[i].omittedFromGrant = true
 	}
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -154,7 +154,7 @@
 	a.updateHandoffs(now, cs)
 	t := a.table
 	for _, g := range a.handoffs {
-		if !a.isReleased(g.Span, now) || !a.ownsHandoff(g) || !a.mayMove(Row{Span: g.Span, Fence: g.fence}, now) {
+		if !a.isReleased(g.Span, now) || !a.ownsHandoff(g) || !a.mayHandOff(g, now) {
 			continue
 		}
 		t = t.withRow(Row{Span: g.Span, Owner: g.to, Fence: fenceAt(a.nextOffset), TransferToken: a.transferToken(g.Span)})
@@ -184,9 +184,11 @@
 // updateHandoffs drops handoffs that have been written. If a receiver is gone, it
 // cancels the handoff while this daemon's server keeps serving, and else picks
 // another receiver. It changes nothing while the outcome of a write is unclear,
-// because that write may still be appended.
+// because that write may still be appended, or may have been read by its receivers
+// before the log came back from a copy without it.
 func (a *Agent) updateHandoffs(now ident.Instant, cs []Candidate) {
-	if a.writeUnclear {
+	sameEra := a.unclearOffset.Era() == a.nextOffset.Era()
+	if a.writeUnclear && sameEra {
 		return
 	}
 	kept := a.handoffs[:0]
@@ -194,6 +196,10 @@
 		if !a.ownsHandoff(g) {
 			continue
 		}
+		if a.writeUnclear {
+			kept = append(kept, g)
+			continue
+		}
 		if !canReceive(cs, g.to) {
 			to, ok := a.leastLoaded(cs)
 			if !ok || a.keepsServing(now) {
--- a/internal/core/keyrange/reopen.go
+++ b/internal/core/keyrange/reopen.go
@@ -18,6 +18,8 @@
 //     over or assigns its keys. After that it is claimed with a new fencing token, since
 //     another server may have held the keys with a greater one.
 //   - An owner whose row is missing in the new table adds it again by a write.
+//   - A daemon that remembers a later owner of keys than the new table names does not grant
+//     these keys before, whoever gives them to it.
 //
 // The fencing tokens of the new era are greater than all before. The table is marked as
 // settled once all grants of the earlier era have expired.
@@ -31,7 +33,9 @@
 	at        ident.Offset  // Table.Reopened of the known table
 	since     ident.Instant // when the agent first saw that table
 	held      []Row         // rows of earlier eras that this daemon has held without interruption
+	handedOff []Row         // the same, of a handoff whose write has an unclear outcome: only its receiver may hold them as well
 	heldUntil ident.Instant // end of the lease by which it held them
+	contested []Span        // keys that other servers held by a later table than the one that was written again
 }
 
 // copyReopenDelay is how much longer a daemon waits that knows the table from the copy only:
@@ -83,26 +87,83 @@
 	case t.Reopened == 0: // settled
 		s.at = 0
 	default:
-		held := a.heldUnderLease(now)
-		*s = reopenState{at: t.Reopened, since: now, held: held, heldUntil: now.Add(max(a.remainingLease(now), 0))}
+		held, handedOff := a.heldUnderLease(now)
+		*s = reopenState{
+			at: t.Reopened, since: now, held: held, handedOff: handedOff, heldUntil: now.Add(max(a.remainingLease(now), 0)),
+			contested: a.laterHeldByOthers(t),
+		}
 	}
 	s.tableEra = era
 }
 
 // heldUnderLease returns the rows that this daemon may renew by its known table, if its lease
-// has not expired.
-func (a *Agent) heldUnderLease(now ident.Instant) []Row {
+// has not expired. Those that a write of unclear outcome hands off are returned apart.
+func (a *Agent) heldUnderLease(now ident.Instant) (held, handedOff []Row) {
 	if !a.tableKnown || a.remainingLease(now) <= 0 {
-		return nil
+		return nil, nil
 	}
-	var out []Row
 	for _, r := range a.table.Rows {
 		if r.Owner.Member != a.member {
 			continue
 		}
-		for _, part := range a.retainedRows(r) {
-			out = append(out, a.reopen.renewableParts(part)...)
+		parts := a.reopen.renewableParts(r)
+		if !a.writeUnclear {
+			held = append(held, parts...)
+			continue
+		}
+		for _, p := range parts {
+			for _, retained := range a.retainedRows(p) {
+				held = append(held, retained)
+			}
+			for _, g := range a.handoffs {
+				if g.fence == p.Fence && g.Overlaps(p.Span) {
+					given := p
+					given.Span = g.intersect(p.Span)
+					handedOff = append(handedOff, given)
+				}
+			}
+		}
+	}
+	return held, handedOff
+}
+
+// laterHeldByOthers returns the keys that others owned by the known table under a greater
+// fencing token than in t.
+func (a *Agent) laterHeldByOthers(t Table) []Span {
+	if !a.tableKnown {
+		return nil
+	}
+	var out []Span
+	for _, r := range a.table.Rows {
+		if r.Owner.Member == a.member {
+			continue
+		}
+		parts := []Span{r.Span}
+		for _, n := range t.Rows {
+			if n.Fence >= r.Fence {
+				parts = subtractAll(parts, n.Span)
+			}
 		}
+		out = append(out, parts...)
+	}
+	return out
+}
+
+// withoutContested returns the parts of a row of this daemon that it may grant although the
+// log came back without the latest tables.
+func (a *Agent) withoutContested(r Row, now ident.Instant) []Row {
+	if a.settled(now) {
+		return []Row{r}
+	}
+	parts := []Span{r.Span}
+	for _, c := range a.reopen.contested {
+		parts = subtractAll(parts, c)
+	}
+	out := make([]Row, 0, len(parts))
+	for _, p := range parts {
+		part := r
+		part.Span = p
+		out = append(out, part)
 	}
 	return out
 }
@@ -129,24 +190,42 @@
 	if !s.isInherited(r.Fence) {
 		return []Row{r}
 	}
+	return commonParts(r, s.held)
+}
+
+// commonParts returns the parts of a row that are in others with the same fencing token.
+func commonParts(r Row, others []Row) []Row {
 	var out []Row
-	for _, h := range s.held {
-		if h.Fence == r.Fence && h.Overlaps(r.Span) {
+	for _, o := range others {
+		if o.Fence == r.Fence && o.Overlaps(r.Span) {
 			part := r
-			part.Span = h.intersect(r.Span)
+			part.Span = o.intersect(r.Span)
 			out = append(out, part)
 		}
 	}
 	return out
 }
 
-// mayRenew reports whether this daemon may grant all of a row.
-func (s *reopenState) mayRenew(r Row) bool {
+// keyCount returns the number of keys in rows.
+func keyCount(rows []Row) int {
 	n := 0
-	for _, p := range s.renewableParts(r) {
-		n += p.Len()
+	for _, r := range rows {
+		n += r.Len()
 	}
-	return n == r.Len()
+	return n
+}
+
+// mayRenew reports whether this daemon may grant all of a row.
+func (s *reopenState) mayRenew(r Row) bool {
+	return keyCount(s.renewableParts(r)) == r.Len()
+}
+
+// mayHandOff reports whether this daemon may write a handoff. One whose write was unclear when
+// the log came back goes to the same receiver, which is the only one that can hold its keys
+// by the lost record.
+func (a *Agent) mayHandOff(g handoff, now ident.Instant) bool {
+	r := Row{Span: g.Span, Fence: g.fence}
+	return a.mayMove(r, now) || keyCount(commonParts(r, a.reopen.handedOff)) == r.Len()
 }
 
 // mayMove reports whether this daemon may give the keys of its row a new fencing token.
