Polls of the configuration do not wait right after an outage

A daemon that polls from an offset which the restored stream has reached again learns of the restore with the answer, up to 20 s later, unless another call or a peer tells it before. After a failed call, or a hint at a newer version, the next poll returns at once. TestPollAfterOutageOrHintDoesNotWait failed before (the second poll waited 20 s).

--- a/internal/sidecar/backoff.go
+++ b/internal/sidecar/backoff.go
@@ -43,6 +43,9 @@
 	sleep(ctx, r.delays.NextBackOff())
 }
 
+// isRecovering reports whether the last call failed.
+func (r *storeRetrier) isRecovering() bool { return !r.lostSince.IsZero() }
+
 // sleep waits for d or the end of ctx.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -38,6 +38,7 @@
 	mu  sync.Mutex // guards raw and serializes changes of table
 	raw []byte     // the configuration in force, encoded
 
+	hinted     atomic.Bool        // a peer has announced a newer version since the last poll began
 	pollMu     sync.Mutex         // guards cancelPoll
 	cancelPoll context.CancelFunc // cancels the pending poll
 }
@@ -61,7 +62,11 @@
 	for ctx.Err() == nil {
 		var err error
 		if synced {
-			next, err = c.poll(ctx, next)
+			wait := c.pollTime()
+			if retry.isRecovering() || c.hinted.Swap(false) {
+				wait = 0 // the log may have come back from a copy: its answer shows that
+			}
+			next, err = c.poll(ctx, next, wait)
 			synced = !errors.Is(err, logservice.ErrTruncated)
 		} else {
 			next, err = c.readAll(ctx)
@@ -89,13 +94,13 @@
 
 // poll waits for entries from the given offset on, applies them and returns the offset of
 // the next poll.
-func (c *configFollower) poll(ctx context.Context, from ident.Offset) (ident.Offset, error) {
+func (c *configFollower) poll(ctx context.Context, from ident.Offset, wait time.Duration) (ident.Offset, error) {
 	pollCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.pollMu.Lock()
 	c.cancelPoll = cancel
 	c.pollMu.Unlock()
-	ch, err := c.store.Poll(pollCtx, logservice.ConfigStream, from, c.pollTime())
+	ch, err := c.store.Poll(pollCtx, logservice.ConfigStream, from, wait)
 	if pollCtx.Err() != nil && ctx.Err() == nil {
 		return from, nil // a peer announced a newer version: poll again at once
 	}
@@ -113,6 +118,7 @@
 	if v <= c.Version() {
 		return
 	}
+	c.hinted.Store(true)
 	c.pollMu.Lock()
 	defer c.pollMu.Unlock()
 	if c.cancelPoll != nil {
--- /dev/null
+++ b/internal/sidecar/config_test.go
@@ -0,0 +1,81 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/routes"
+	"github.com/burdockfold/burdockfold/internal/logservice"
+)
+
+// pollRecorder is a log that records how long its polls may wait. Polls with a wait block
+// until they are canceled or the test fails them.
+type pollRecorder struct {
+	logservice.KeyedLog
+	fail chan error
+
+	mu    sync.Mutex
+	waits []time.Duration
+}
+
+func (p *pollRecorder) Era() uint64 { return 0 }
+
+func (p *pollRecorder) Newest(context.Context, logservice.Stream) (logservice.Newest, error) {
+	return logservice.Newest{}, nil
+}
+
+func (p *pollRecorder) Poll(ctx context.Context, _ logservice.Stream, from ident.Offset, wait time.Duration) (logservice.Changes, error) {
+	p.mu.Lock()
+	p.waits = append(p.waits, wait)
+	p.mu.Unlock()
+	if wait == 0 {
+		return logservice.Changes{Next: from}, nil
+	}
+	select {
+	case err := <-p.fail:
+		return logservice.Changes{}, err
+	case <-ctx.Done():
+		return logservice.Changes{}, ctx.Err()
+	}
+}
+
+func (p *pollRecorder) pollsWithWaits() []time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.waits)
+}
+
+// After an outage, or a hint that there is a newer version, a poll that waits for records after
+// the known offset hides for its whole time that the log came back from a copy.
+func TestPollAfterOutageOrHintDoesNotWait(t *testing.T) {
+	const pollTime = 20 * time.Second
+	log := &pollRecorder{fail: make(chan error)}
+	c := &configFollower{store: log, log: zap.NewNop(), pollTime: func() time.Duration { return pollTime }}
+	c.table.Store(routes.NewTable(routes.Config{Version: 1}))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		assert.Check(t, c.follow(ctx))
+	}()
+	log.fail <- errors.New("away")
+	log.fail <- errors.New("away once more, after the poll that did not wait")
+	for len(log.pollsWithWaits()) < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	c.handleVersionHint(2)
+	for len(log.pollsWithWaits()) < 7 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	assert.DeepEqual(t, log.pollsWithWaits()[:7], []time.Duration{pollTime, 0, pollTime, 0, pollTime, 0, pollTime})
+}
