Unclear handoffs of an earlier era: one rule instead of two

The receiver of the unclear write is kept with the handoff, so that the outcome need not stay unclear across eras. TestUnclearHandoffGoesToNobodyElse.

--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -184,11 +184,9 @@
 // updateHandoffs drops handoffs that have been written. If a receiver is gone, it
 // cancels the handoff while this daemon's server keeps serving, and else picks
 // another receiver. It changes nothing while the outcome of a write is unclear,
-// because that write may still be appended, or may have been read by its receivers
-// before the log came back from a copy without it.
+// because that write may still be appended.
 func (a *Agent) updateHandoffs(now ident.Instant, cs []Candidate) {
-	sameEra := a.unclearOffset.Era() == a.nextOffset.Era()
-	if a.writeUnclear && sameEra {
+	if a.writeUnclear {
 		return
 	}
 	kept := a.handoffs[:0]
@@ -196,10 +194,6 @@
 		if !a.ownsHandoff(g) {
 			continue
 		}
-		if a.writeUnclear {
-			kept = append(kept, g)
-			continue
-		}
 		if !canReceive(cs, g.to) {
 			to, ok := a.leastLoaded(cs)
 			if !ok || a.keepsServing(now) {
--- a/internal/core/keyrange/read.go
+++ b/internal/core/keyrange/read.go
@@ -49,10 +49,8 @@
 	a.enterTable(t, next.Era(), now)
 	a.recordLosses(t, next)
 	a.table, a.nextOffset, a.tableKnown, a.tableStale = t, next, true, false
-	if next > a.unclearOffset && (next.Era() == a.unclearOffset.Era() || a.settled(now) || len(a.handoffs) == 0) {
-		// The write was appended, or never will be. One of an earlier era may have been
-		// read by its receivers before it was lost.
-		a.writeUnclear = false
+	if next > a.unclearOffset {
+		a.writeUnclear = false // the write was appended, or never will be
 	}
 	a.recordSuspicions(now)
 }
--- a/internal/core/keyrange/reopen.go
+++ b/internal/core/keyrange/reopen.go
@@ -33,7 +33,7 @@
 	at        ident.Offset  // Table.Reopened of the known table
 	since     ident.Instant // when the agent first saw that table
 	held      []Row         // rows of earlier eras that this daemon has held without interruption
-	handedOff []Row         // the same, of a handoff whose write has an unclear outcome: only its receiver may hold them as well
+	handedOff []handoff     // parts of such rows whose handoff had an unclear outcome: only its receiver may hold them as well
 	heldUntil ident.Instant // end of the lease by which it held them
 	contested []Span        // keys that other servers held by a later table than the one that was written again
 }
@@ -98,7 +98,7 @@
 
 // heldUnderLease returns the rows that this daemon may renew by its known table, if its lease
 // has not expired. Those that a write of unclear outcome hands off are returned apart.
-func (a *Agent) heldUnderLease(now ident.Instant) (held, handedOff []Row) {
+func (a *Agent) heldUnderLease(now ident.Instant) (held []Row, handedOff []handoff) {
 	if !a.tableKnown || a.remainingLease(now) <= 0 {
 		return nil, nil
 	}
@@ -112,14 +112,10 @@
 			continue
 		}
 		for _, p := range parts {
-			for _, retained := range a.retainedRows(p) {
-				held = append(held, retained)
-			}
+			held = append(held, a.retainedRows(p)...)
 			for _, g := range a.handoffs {
-				if g.fence == p.Fence && g.Overlaps(p.Span) {
-					given := p
-					given.Span = g.intersect(p.Span)
-					handedOff = append(handedOff, given)
+				if g.fence == p.Fence && p.Covers(g.Span) {
+					handedOff = append(handedOff, g)
 				}
 			}
 		}
@@ -190,42 +186,32 @@
 	if !s.isInherited(r.Fence) {
 		return []Row{r}
 	}
-	return commonParts(r, s.held)
-}
-
-// commonParts returns the parts of a row that are in others with the same fencing token.
-func commonParts(r Row, others []Row) []Row {
 	var out []Row
-	for _, o := range others {
-		if o.Fence == r.Fence && o.Overlaps(r.Span) {
+	for _, h := range s.held {
+		if h.Fence == r.Fence && h.Overlaps(r.Span) {
 			part := r
-			part.Span = o.intersect(r.Span)
+			part.Span = h.intersect(r.Span)
 			out = append(out, part)
 		}
 	}
 	return out
 }
 
-// keyCount returns the number of keys in rows.
-func keyCount(rows []Row) int {
-	n := 0
-	for _, r := range rows {
-		n += r.Len()
-	}
-	return n
-}
-
 // mayRenew reports whether this daemon may grant all of a row.
 func (s *reopenState) mayRenew(r Row) bool {
-	return keyCount(s.renewableParts(r)) == r.Len()
+	n := 0
+	for _, p := range s.renewableParts(r) {
+		n += p.Len()
+	}
+	return n == r.Len()
 }
 
 // mayHandOff reports whether this daemon may write a handoff. One whose write was unclear when
 // the log came back goes to the same receiver, which is the only one that can hold its keys
 // by the lost record.
 func (a *Agent) mayHandOff(g handoff, now ident.Instant) bool {
-	r := Row{Span: g.Span, Fence: g.fence}
-	return a.mayMove(r, now) || keyCount(commonParts(r, a.reopen.handedOff)) == r.Len()
+	unclear := func(o handoff) bool { return o.Span == g.Span && o.fence == g.fence && o.to == g.to }
+	return a.mayMove(Row{Span: g.Span, Fence: g.fence}, now) || slices.ContainsFunc(a.reopen.handedOff, unclear)
 }
 
 // mayMove reports whether this daemon may give the keys of its row a new fencing token.
--- a/internal/core/keyrange/reopen_test.go
+++ b/internal/core/keyrange/reopen_test.go
@@ -152,6 +152,38 @@
 	assert.Equal(t, given.Owner, b)
 }
 
+// If that receiver is gone, nobody gets the keys until the grants of the earlier era have
+// expired: neither another receiver nor the giver.
+func TestUnclearHandoffGoesToNobodyElse(t *testing.T) {
+	now := ident.Instant(time.Hour)
+	a, b, c := owner("a"), owner("b"), owner("c")
+	known := halves(a, 4, c, 5)
+	for _, leaves := range []bool{false, true} {
+		agent := agentWithTable(a, known, now)
+		row, _ := known.Find(0)
+		agent.addHandoff(row, Span{0, 99}, b)
+		grantedSpans(agent, 2, now)
+		grantedSpans(agent, 3, now)
+		w := agent.Tick(now, []Candidate{candidate(a), candidate(b), candidate(c)})
+		agent.ApplyOutcome(*w, Unclear, now, now)
+		table, next := reopened(known)
+		agent.ApplyRead(table, next, now, now)
+		if leaves {
+			agent.ServerDraining()
+		}
+		later := now.Add(time.Second)
+		for range 3 {
+			if w := agent.Tick(later, []Candidate{candidate(a), candidate(c)}); w != nil {
+				given, _ := w.Table.Find(0)
+				assert.Equal(t, given.Owner, a)
+			}
+		}
+		for _, s := range grantedSpans(agent, 4, later) {
+			assert.Assert(t, !s.Contains(0))
+		}
+	}
+}
+
 // A daemon that remembers a later owner of keys does not grant them, whoever hands them to it,
 // until that owner's grants have expired.
 func TestKeysOfRememberedOwnerAreNotGranted(t *testing.T) {
