Hosts register again when the store has lost their records

A daemon that started after the copy was made is not in the list of hosts of the restored store, so that daemons which start later do not find it. Daemons write their records again, spread over 2 s.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	d.adapter.Log = &observedLog{KeyedLog: d.adapter.Log, calls: d.metrics.calls, log: d.log}
+	d.adapter.Log = &observedLog{KeyedLog: d.adapter.Log, calls: d.metrics.calls, log: d.log, onRestore: func() { d.peers.requestRegistration() }}
 	return nil
 }
 
@@ -186,11 +186,12 @@
 		clock: d.clock, store: d.adapter.Log, mesh: d.mesh, server: d.server, gate: d.gate,
 		ownership: d.ownership, configs: d.configs, log: d.log,
 		pollTime: d.cfg.Store.PollTime, watchPollTime: d.cfg.Store.WatchPoll,
-		helloRequested: make(chan struct{}, 1),
-		roster:         roster.New(d.member.Host),
-		foundAt:        make(map[ident.Host]ident.Instant),
-		greetedAt:      make(map[ident.Host]ident.Instant),
-		relay:          relayState{relayed: make(map[ident.Host]roster.Entry), told: make(map[ident.Host]ident.Member)},
+		helloRequested:  make(chan struct{}, 1),
+		registrationDue: make(chan struct{}, 1),
+		roster:          roster.New(d.member.Host),
+		foundAt:         make(map[ident.Host]ident.Instant),
+		greetedAt:       make(map[ident.Host]ident.Instant),
+		relay:           relayState{relayed: make(map[ident.Host]roster.Entry), told: make(map[ident.Host]ident.Member)},
 	}
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -145,11 +145,14 @@
 	logservice.KeyedLog
 	calls metric.Int64Counter
 	log   *zap.Logger
-	era   atomic.Uint64 // last era that was logged
+
+	era       atomic.Uint64 // last era that was logged
+	answered  atomic.Bool   // a call has succeeded, so that era is known
+	onRestore func()        // called when the log has come back from a copy
 }
 
 func (l *observedLog) countCall(call string, err error) {
-	l.observeEra()
+	l.observeEra(err == nil)
 	outcome := "ok"
 	switch {
 	case errors.Is(err, context.Canceled):
@@ -167,11 +170,18 @@
 	count(l.calls, attribute.String("call", call), attribute.String("outcome", outcome))
 }
 
-// observeEra logs the era of the log when it has risen.
-func (l *observedLog) observeEra() {
+// observeEra logs the era of the log when it has risen after a call. The era that the first
+// answer shows is no restore.
+func (l *observedLog) observeEra(answered bool) {
 	era := l.KeyedLog.Era()
 	if before := l.era.Load(); era > before && l.era.CompareAndSwap(before, era) {
 		l.log.Info("store_era", zap.Uint64("era", era), zap.Uint64("before", before))
+		if l.answered.Load() {
+			l.onRestore()
+		}
+	}
+	if answered {
+		l.answered.Store(true)
 	}
 }
 
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,7 @@
 	greetInterval         = 500 * time.Millisecond  // between hellos to a daemon that has not answered
 	helloRefreshInterval  = 10 * time.Second        // between hellos to any other daemon
 	greetDuration         = 20 * time.Second        // how long greetInterval applies to a daemon that never answers
+	registrationSpread    = 2 * time.Second         // in which daemons register again after a restore, so that their writes stay below the rate of the store
 	secondListDelay       = 1 * time.Second         // until the list of hosts is read again; longer than daemons differ in their start
 )
 
@@ -44,6 +46,8 @@
 	log            *zap.Logger
 	helloRequested chan struct{} // signals that a hello to all daemons is due; capacity 1
 
+	registrationDue chan struct{} // signals that the store may have lost the record of this host; capacity 1
+
 	pollTime      time.Duration // maximum wait of a poll of the configuration
 	watchPollTime time.Duration // the same at a daemon that watches the configuration for its region
 
@@ -98,9 +102,41 @@
 
 // register is the duty that adds this daemon to the store's list of hosts and then reads
 // the list. In this order, of two daemons that start at the same time at least one finds
-// the other.
+// the other. It adds the daemon again when the store has come back from a copy that may lack
+// its record.
 func (p *peers) register(ctx context.Context) error {
 	retry := newStoreRetrier(initialBackoff, maxConfigBackoff)
+	if err := p.putHost(ctx, retry); err != nil {
+		return err
+	}
+	p.listHosts(ctx, retry)
+	// With many daemons, one that registered later greets few of the others.
+	sleep(ctx, secondListDelay)
+	p.listHosts(ctx, retry)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.registrationDue:
+		}
+		sleep(ctx, rand.N(registrationSpread))
+		if err := p.putHost(ctx, retry); err != nil {
+			return err
+		}
+	}
+}
+
+// requestRegistration makes register add this daemon to the list of hosts again.
+func (p *peers) requestRegistration() {
+	select {
+	case p.registrationDue <- struct{}{}:
+	default: // a request is already pending
+	}
+}
+
+// putHost writes the record of this host to the store, and repeats the call until it has
+// succeeded.
+func (p *peers) putHost(ctx context.Context, retry *storeRetrier) error {
 	expected := roster.Server{Service: p.service}
 	data, err := codec.Marshal(roster.Entry{Member: p.self, Addr: p.addr, Location: p.location, Server: expected})
 	if err != nil {
@@ -113,11 +149,6 @@
 		}
 		retry.waitAfterCall(ctx, err, p.log, "host_register")
 	}
-	p.listHosts(ctx, retry)
-	// With many daemons, one that registered later greets few of the others.
-	sleep(ctx, secondListDelay)
-	p.listHosts(ctx, retry)
-	<-ctx.Done()
 	return nil
 }
 
--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -43,9 +43,10 @@
 	topics  map[string][][]byte // records by topic; a record's index is its offset
 	fault   Fault
 	calls   int
-	era     int           // rises with each Restore
-	changed chan struct{} // closed and replaced after each append
-	stop    chan struct{} // closed by Close
+	era     int            // rises with each Restore
+	copied  map[string]int // number of records of each topic at the last Restore
+	changed chan struct{}  // closed and replaced after each append
+	stop    chan struct{}  // closed by Close
 }
 
 // New starts a store on a loopback port.
@@ -100,14 +101,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
-	s.topics = make(map[string][][]byte, len(c.topics))
+	s.topics, s.copied = make(map[string][][]byte, len(c.topics)), make(map[string]int, len(c.topics))
 	for name, records := range c.topics {
-		s.topics[name] = slices.Clone(records)
+		s.topics[name], s.copied[name] = slices.Clone(records), len(records)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// KeysWritten returns the number of keys of a topic that were written since the last
+// restore.
+func (s *Store) KeysWritten(topic string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keys := map[string]bool{}
+	for _, r := range s.topics[topic][min(s.copied[topic], len(s.topics[topic])):] {
+		keys[string(r[1:1+int(r[0])])] = true
+	}
+	return len(keys)
+}
+
 // CallCount returns the number of calls that have arrived.
 func (s *Store) CallCount() int {
 	s.mu.Lock()
