Pending polls end when the store has come back from a copy

A poll that waits at an offset of the earlier era is answered after its whole time, 20 s at daemons whose server is not divided by key. The first answer of the new era ends it.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -38,7 +38,7 @@
 	mu  sync.Mutex // guards raw and serializes changes of table
 	raw []byte     // the configuration in force, encoded
 
-	hinted     atomic.Bool        // a peer has announced a newer version since the last poll began
+	restarted  atomic.Bool        // restartPoll was called since the last poll began
 	pollMu     sync.Mutex         // guards cancelPoll
 	cancelPoll context.CancelFunc // cancels the pending poll
 }
@@ -63,7 +63,7 @@
 		var err error
 		if synced {
 			wait := c.pollTime()
-			if retry.isRecovering() || c.hinted.Swap(false) {
+			if retry.isRecovering() || c.restarted.Swap(false) {
 				wait = 0 // the log may have come back from a copy: its answer shows that
 			}
 			next, err = c.poll(ctx, next, wait)
@@ -118,7 +118,12 @@
 	if v <= c.Version() {
 		return
 	}
-	c.hinted.Store(true)
+	c.restartPoll()
+}
+
+// restartPoll ends the pending poll, if any, and makes the next one return at once.
+func (c *configFollower) restartPoll() {
+	c.restarted.Store(true)
 	c.pollMu.Lock()
 	defer c.pollMu.Unlock()
 	if c.cancelPoll != nil {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -133,10 +133,18 @@
 	if err != nil {
 		return err
 	}
-	d.adapter.Log = &observedLog{KeyedLog: d.adapter.Log, calls: d.metrics.calls, log: d.log, onRestore: func() { d.peers.requestRegistration() }}
+	d.adapter.Log = &observedLog{KeyedLog: d.adapter.Log, calls: d.metrics.calls, log: d.log, onRestore: d.handleRestore}
 	return nil
 }
 
+// handleRestore is called when the store has come back from a copy. Pending polls wait for
+// offsets that mean something else now.
+func (d *Daemon) handleRestore() {
+	d.configs.restartPoll()
+	d.ownership.restartPoll()
+	d.peers.requestRegistration()
+}
+
 func (d *Daemon) location() ident.Location {
 	return ident.Location{Region: d.cfg.Host.Region, FailureDomain: d.cfg.Host.FailureDomain}
 }
--- a/internal/sidecar/ownershipread.go
+++ b/internal/sidecar/ownershipread.go
@@ -85,6 +85,15 @@
 	return nil
 }
 
+// restartPoll ends the pending poll, if any, so that it is made again.
+func (o *ownership) restartPoll() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.cancelPoll != nil {
+		o.cancelPoll()
+	}
+}
+
 // readAllTables reads the newest table of every service.
 func (o *ownership) readAllTables(ctx context.Context) error {
 	sent := o.clock.Now()
