A limited server's excess: one function for a row, and answers matched to the instance

handOffExcess nested three loops; a row is a function now. An answer to a request from before the present instance was known is ignored: its id may be that of an earlier one.

--- a/internal/core/keyrange/limited.go
+++ b/internal/core/keyrange/limited.go
@@ -26,32 +26,48 @@
 	if total == 0 {
 		return false
 	}
-	// The slots that all its requests would take: those in use serve the limit.
-	demand := max(giver.Utilization, minGiverUtilization) * giver.LimitUse * float64(giver.Slots)
-	excess := total * (1 - limitUseTarget/giver.LimitUse)
-	receivers := excessReceivers(cs, giver)
+	e := excess{
+		load:      total * (1 - limitUseTarget/giver.LimitUse),
+		receivers: excessReceivers(cs, giver),
+		// The slots in use serve the limit; all its requests would take more.
+		slotsPerLoad: max(giver.Utilization, minGiverUtilization) * giver.LimitUse * float64(giver.Slots) / total,
+	}
 	for _, r := range rows {
-		for rest := r.Span; excess > 0 && len(receivers) > 0 && len(a.handoffs) < maxBalanceHandoffs && a.rowCount(a.selfOwner()) < maxRowsPerOwner; {
-			to := leastUtilized(receivers)
-			room := (excessReceiving - to.utilization) * float64(to.slots) / demand * total
-			if room <= 0 || a.rowCount(to.owner) >= maxRowsPerOwner {
-				receivers = slices.DeleteFunc(receivers, func(x *receiver) bool { return x == to })
-				continue
-			}
-			part := a.prefixWithLoad(rest, min(room, excess))
-			load := a.load.sumOver(part)
-			a.addHandoff(r.row, part, to.owner)
-			to.utilization += load / total * demand / float64(to.slots)
-			excess -= load
-			if part.To >= rest.To {
-				break
-			}
-			rest.From = part.To + 1
-		}
+		a.handOffFrom(r, &e)
 	}
 	return len(a.handoffs) > 0
 }
 
+// excess is the load that a limited server has yet to hand off.
+type excess struct {
+	load         float64 // in the units of the recorded load
+	slotsPerLoad float64 // slots that a unit of it occupies
+	receivers    []*receiver
+}
+
+// handOffFrom hands off parts of a row, from its first key on, until no excess or no room
+// for it is left.
+func (a *Agent) handOffFrom(row bucket, e *excess) {
+	rest := row.Span
+	for e.load > 0 && len(e.receivers) > 0 && len(a.handoffs) < maxBalanceHandoffs && a.rowCount(a.selfOwner()) < maxRowsPerOwner {
+		to := leastUtilized(e.receivers)
+		room := (excessReceiving - to.utilization) * float64(to.slots) / e.slotsPerLoad
+		if room <= 0 || a.rowCount(to.owner) >= maxRowsPerOwner {
+			e.receivers = slices.DeleteFunc(e.receivers, func(r *receiver) bool { return r == to })
+			continue
+		}
+		part := a.prefixWithLoad(rest, min(room, e.load))
+		a.addHandoff(row.row, part, to.owner)
+		load := a.load.sumOver(part)
+		to.utilization += load * e.slotsPerLoad / float64(to.slots)
+		e.load -= load
+		if part.To >= rest.To {
+			return
+		}
+		rest.From = part.To + 1
+	}
+}
+
 // minGiverUtilization is assumed at least of a limited server: the average may not show
 // yet that it serves its limit.
 const minGiverUtilization = 0.05
--- a/internal/sidecar/executor.go
+++ b/internal/sidecar/executor.go
@@ -87,10 +87,9 @@
 		release(0)
 		return hop.FailedAnswer(errkind.New(errkind.BackendUnavailable, "the backend server has gone"))
 	}
-	instance := x.server.rosterEntry().Instance
 	a := x.client.Do(ctx, target, r)
 	if a.Statement != nil {
-		x.server.recordStatement(instance, *a.Statement, started)
+		x.server.recordStatement(target.ID, *a.Statement, started)
 	}
 	x.metrics.countServerRequest(a.ReachedBackend)
 	serviceTime := x.clock.Now().Sub(started)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -42,6 +42,7 @@
 
 	mu            sync.Mutex // guards the fields below
 	instance      roster.Instance
+	adoptedAt     ident.Instant // when the first heartbeat of instance arrived
 	service       ident.Service
 	addr          string
 	slots         int
@@ -96,6 +97,7 @@
 		s.leavingSince = now
 	}
 	if !same {
+		s.adoptedAt = now
 		s.statements.SetInstance(hb.Instance)
 		s.gate.SetLimit(s.statements.Limit())
 		s.published = s.statements.Limit()
@@ -146,10 +148,16 @@
 	s.log.Warn("server_heartbeat_malformed", zap.String("server", id), zap.Error(err))
 }
 
-// recordStatement records what an answer of an instance states about the server. sent is
-// when the request was sent to the server.
-func (s *server) recordStatement(i roster.Instance, st advisory.Statement, sent ident.Instant) {
+// recordStatement records what the answer of the server with an id states about it. sent is
+// when the request was sent; an answer to a request from before the present instance was
+// known may come from an earlier one.
+func (s *server) recordStatement(id string, st advisory.Statement, sent ident.Instant) {
 	s.mu.Lock()
+	i := s.instance
+	if i.ID != id || sent < s.adoptedAt {
+		s.mu.Unlock()
+		return
+	}
 	before := s.statements.Limit()
 	s.statements.RecordAnswer(i, st, sent, s.clock.Now())
 	limit := s.statements.Limit()
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -81,7 +81,7 @@
 func TestHeartbeatDoesNotUndoKnownLeave(t *testing.T) {
 	for name, leave := range map[string]func(*server){
 		"answer": func(s *server) {
-			s.recordStatement(s.instance, advisory.Statement{Leaving: true}, s.clock.Now())
+			s.recordStatement("i", advisory.Statement{Leaving: true}, s.clock.Now())
 		},
 		"peer": func(s *server) {
 			s.recordPeerAdvisory(&advisory.Advisory{Instance: s.instance, Leaving: true, LeavingSince: s.clock.Now()})
