Announcements in quick succession do not keep polls from being answered

Every announcement of a newer configuration ended the pending poll and its answer was thrown away. In a storm of changes the announcements came faster than a round trip to the store: the last version read from the store by sidecar-kozhikode-a-5 was 27 at 21.13 s, the next 90 at 30.16 s.

A hint now ends a poll only if it has been pending for 0.3 s without bringing the version, and never one that returns at once. TestHintsInQuickSuccessionDoNotStopPolls failed before: version 0 after 200 hints.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -21,6 +21,11 @@
 // configuration must be in force.
 const maxConfigBackoff = 700 * time.Millisecond
 
+// hintGrace is how long a poll that waits may take to bring a version that a peer has
+// announced: the store answers it as soon as it has the record, in a round trip between
+// regions.
+const hintGrace = 300 * time.Millisecond
+
 // sourceStore names the store as the source of a configuration; other sources are hosts.
 const sourceStore = "store"
 
@@ -39,8 +44,10 @@
 	raw []byte     // the configuration in force, encoded
 
 	restarted  atomic.Bool        // restartPoll was called since the last poll began
-	pollMu     sync.Mutex         // guards cancelPoll
+	pollMu     sync.Mutex         // guards the fields below
 	cancelPoll context.CancelFunc // cancels the pending poll
+	pollSent   time.Time          // when it was sent
+	pollWaits  bool               // it waits for a record
 }
 
 // Routes returns the routing table in force, nil before the first configuration.
@@ -98,27 +105,50 @@
 	pollCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.pollMu.Lock()
-	c.cancelPoll = cancel
+	c.cancelPoll, c.pollSent, c.pollWaits = cancel, time.Now(), wait > 0
 	c.pollMu.Unlock()
 	ch, err := c.store.Poll(pollCtx, logservice.ConfigStream, from, wait)
-	if pollCtx.Err() != nil && ctx.Err() == nil {
-		return from, nil // a peer announced a newer version: poll again at once
-	}
-	if err != nil {
+	switch {
+	case err == nil:
+	case pollCtx.Err() != nil && ctx.Err() == nil:
+		return from, nil // restartPoll was called: poll again at once
+	default:
 		return from, err
 	}
 	c.applyEntries(ch.Entries)
 	return ch.Next, nil
 }
 
-// handleVersionHint is called when a peer has announced version v. If v is newer than
-// the version in force, it cancels the pending poll so that the poll is repeated: a poll
-// that began before an outage of the store may never be answered.
+// handleVersionHint is called when a peer has announced version v. If the pending poll does
+// not bring it within hintGrace, the poll is repeated: one that began before an outage of
+// the store may never be answered. A poll that returns at once is left alone, so that
+// hints in quick succession do not keep every poll from being answered.
 func (c *configFollower) handleVersionHint(v routes.Version) {
 	if v <= c.Version() {
 		return
 	}
-	c.restartPoll()
+	c.pollMu.Lock()
+	sent, waits := c.pollSent, c.pollWaits
+	c.pollMu.Unlock()
+	if !waits {
+		return
+	}
+	if left := hintGrace - time.Since(sent); left > 0 {
+		time.AfterFunc(left, func() { c.restartStalePoll(sent, v) })
+		return
+	}
+	c.restartStalePoll(sent, v)
+}
+
+// restartStalePoll restarts the poll that was sent at an instant, if it is still pending and
+// version v is not in force.
+func (c *configFollower) restartStalePoll(sent time.Time, v routes.Version) {
+	c.pollMu.Lock()
+	pending := c.pollSent.Equal(sent)
+	c.pollMu.Unlock()
+	if pending && v > c.Version() {
+		c.restartPoll()
+	}
 }
 
 // restartPoll ends the pending poll, if any, and makes the next one return at once.
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,3 +81,53 @@
 	<-done
 	assert.DeepEqual(t, log.pollsWithWaits()[:7], []time.Duration{pollTime, 0, pollTime, 0, pollTime, 0, pollTime})
 }
+
+// versionLog is a log whose polls are answered with the next version of the configuration,
+// after answerTime.
+type versionLog struct {
+	logservice.KeyedLog
+	answerTime time.Duration
+	polls      atomic.Int64
+}
+
+func (l *versionLog) Newest(context.Context, logservice.Stream) (logservice.Newest, error) {
+	return logservice.Newest{}, nil
+}
+
+func (l *versionLog) Poll(ctx context.Context, _ logservice.Stream, from ident.Offset, _ time.Duration) (logservice.Changes, error) {
+	l.polls.Add(1)
+	select {
+	case <-time.After(l.answerTime):
+	case <-ctx.Done():
+		return logservice.Changes{}, ctx.Err()
+	}
+	version := strconv.Itoa(int(from) + 1)
+	return logservice.Changes{Next: from + 1, Entries: []logservice.KeyedEntry{{Key: logservice.ConfigKey, Value: []byte(version), Offset: from}}}, nil
+}
+
+// Versions in quick succession are announced by several peers each. Every announcement ended
+// the pending poll before its answer had come, so that the daemon read none of them.
+func TestHintsInQuickSuccessionDoNotStopPolls(t *testing.T) {
+	log := &versionLog{answerTime: 60 * time.Millisecond}
+	c := &configFollower{
+		store: log, log: zap.NewNop(), pollTime: func() time.Duration { return time.Second }, onChange: func(*routes.Table, string) {},
+		decode: func(raw []byte) (routes.Config, error) {
+			v, err := strconv.Atoi(string(raw))
+			return routes.Config{Version: routes.Version(v)}, err
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		assert.Check(t, c.follow(ctx))
+	}()
+	const hints = 200
+	for range hints {
+		c.handleVersionHint(1000)
+		time.Sleep(5 * time.Millisecond)
+	}
+	cancel()
+	<-done
+	assert.Assert(t, c.Version() >= 2, "version %d after %d hints and %d polls", c.Version(), hints, log.polls.Load())
+}
