--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -25,10 +24,6 @@
 // cover the transmission of a request to the server.
 const drainMargin = 500 * time.Millisecond
 
-// publishedLimitError is by what fraction the limit that the other daemons know may differ
-// from the one in force beside the server. They only choose servers by it.
-const publishedLimitError = 0.2
-
 // server tracks the state of the backend server beside the daemon, from its heartbeats
 // and from refused connections. It implements ServerPort.
 type server struct {
@@ -121,125 +116,11 @@
 	}
 }
 
-// markLeaving records that an instance has been known to leave since an instant, and
-// reports whether that is new. The caller holds s.mu.
-func (s *server) markLeaving(i roster.Instance, since ident.Instant) bool {
-	if i != s.instance || i.ID == "" {
-		return false
-	}
-	if s.leaving {
-		s.leavingSince = min(s.leavingSince, since)
-		return false
-	}
-	s.leaving, s.leavingSince = true, since
-	return true
-}
-
-// handleLeaveStated makes the ownership and the other daemons follow a leave that was
-// learned from answers. The server still sends heartbeats.
-func (s *server) handleLeaveStated(i roster.Instance, service ident.Service, source string) {
-	s.log.Info("server_states_leave", zap.String("server", i.ID), zap.String("service", string(service)), zap.String("source", source))
-	s.ownership.handleServerDraining(service)
-	s.onChange()
-}
-
 // HandleMalformed implements ServerPort.
 func (s *server) HandleMalformed(id string, err error) {
 	s.log.Warn("server_heartbeat_malformed", zap.String("server", id), zap.Error(err))
 }
 
-// recordStatement records what the answer of the server with an id states about it. sent is
-// when the request was sent; an answer to a request from before the present instance was
-// known may come from an earlier one.
-func (s *server) recordStatement(id string, st advisory.Statement, sent ident.Instant) {
-	s.mu.Lock()
-	i := s.instance
-	if i.ID != id || sent < s.adoptedAt {
-		s.mu.Unlock()
-		return
-	}
-	before := s.statements.Limit()
-	s.statements.RecordAnswer(i, st, sent, s.clock.Now())
-	limit := s.statements.Limit()
-	if limit != before {
-		s.gate.SetLimit(limit)
-	}
-	publish := s.publishLimit(limit)
-	leaves := st.Leaving && s.markLeaving(i, s.clock.Now())
-	service := s.service
-	s.mu.Unlock()
-	if publish {
-		s.onChange()
-	}
-	if leaves {
-		s.handleLeaveStated(i, service, "answer")
-	}
-	if st.InvalidLimit != "" {
-		s.log.Warn("server_limit_invalid", zap.String("server", i.ID), zap.String("limit", st.InvalidLimit))
-	}
-	if limit != before {
-		s.log.Info("server_limit", zap.String("server", i.ID), zap.Float64("per_second", limit), zap.Float64("before", before))
-	}
-}
-
-// publishLimit sets the limit that the other daemons know, and reports whether they must
-// be told. Small changes are not told: a server may name another limit in each answer.
-// The caller holds s.mu.
-func (s *server) publishLimit(limit float64) bool {
-	if math.Abs(limit-s.published) <= publishedLimitError*s.published && (limit == 0) == (s.published == 0) {
-		return false
-	}
-	s.published = limit
-	return true
-}
-
-// recordPeerAdvisory applies what another daemon knows of the server from earlier
-// answers. a may be nil.
-func (s *server) recordPeerAdvisory(a *advisory.Advisory) {
-	if a == nil {
-		return
-	}
-	s.mu.Lock()
-	before := s.statements.Limit()
-	s.statements.RecordPeer(*a)
-	limit := s.statements.Limit()
-	if limit != before {
-		s.gate.SetLimit(limit)
-	}
-	publish := s.publishLimit(limit)
-	leaves := a.Leaving && s.markLeaving(a.Instance, a.LeavingSince)
-	service := s.service
-	s.mu.Unlock()
-	if limit != before {
-		s.log.Info("server_limit_from_peer", zap.String("server", a.Instance.ID), zap.Float64("per_second", limit))
-	}
-	if publish {
-		s.onChange()
-	}
-	if leaves {
-		s.handleLeaveStated(a.Instance, service, "peer")
-	}
-}
-
-// advisory returns what other daemons must know of the server, nil if nothing.
-func (s *server) advisory() *advisory.Advisory {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	limit := s.statements.Limit()
-	if limit == 0 && !s.leaving {
-		return nil
-	}
-	return &advisory.Advisory{Instance: s.instance, Limit: limit, Leaving: s.leaving, LeavingSince: s.leavingSince}
-}
-
-// limit returns the limit that the server states, in requests per second; zero if there
-// is none.
-func (s *server) limit() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.statements.Limit()
-}
-
 // checkSilence marks the server as lost if it has sent no heartbeat for longer than
 // maxMissedHeartbeats intervals.
 func (s *server) checkSilence() {
--- /dev/null
+++ b/internal/sidecar/serveradvisory.go
@@ -0,0 +1,119 @@
+package sidecar
+
+import (
+	"math"
+
+	"go.uber.org/zap"
+
+	"github.com/burdockfold/burdockfold/internal/core/advisory"
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/roster"
+)
+
+// publishedLimitError is by what fraction the limit that the other daemons know may differ
+// from the one in force beside the server. They only choose servers by it.
+const publishedLimitError = 0.2
+
+// Where the daemon learned of a limit or a leave, for the log.
+const (
+	sourceAnswer = "answer" // of the server
+	sourcePeer   = "peer"   // a daemon that received such an answer before this one started
+)
+
+// recordStatement records what the answer of the server with an id states about it. sent is
+// when the request was sent; an answer to a request from before the present instance was
+// known may come from an earlier one.
+func (s *server) recordStatement(id string, st advisory.Statement, sent ident.Instant) {
+	if st.InvalidLimit != "" {
+		s.log.Warn("server_limit_invalid", zap.String("server", id), zap.String("limit", st.InvalidLimit))
+	}
+	s.applyAdvice(sourceAnswer, func() (leaves bool) {
+		if s.instance.ID != id || sent < s.adoptedAt {
+			return false
+		}
+		now := s.clock.Now()
+		s.statements.RecordAnswer(s.instance, st, sent, now)
+		return st.Leaving && s.markLeaving(s.instance, now)
+	})
+}
+
+// recordPeerAdvisory applies what another daemon knows of the server from earlier
+// answers. a may be nil.
+func (s *server) recordPeerAdvisory(a *advisory.Advisory) {
+	if a == nil {
+		return
+	}
+	s.applyAdvice(sourcePeer, func() (leaves bool) {
+		s.statements.RecordPeer(*a)
+		return a.Leaving && s.markLeaving(a.Instance, a.LeavingSince)
+	})
+}
+
+// applyAdvice calls update with s.mu locked. It then makes the gate, the ownership and the
+// other daemons follow: a limit that update has changed, and a leave that it reports as new.
+func (s *server) applyAdvice(source string, update func() (leaves bool)) {
+	s.mu.Lock()
+	before := s.statements.Limit()
+	leaves := update()
+	limit := s.statements.Limit()
+	if limit != before {
+		s.gate.SetLimit(limit)
+	}
+	published := s.publishLimit(limit)
+	id, service := s.instance.ID, s.service
+	s.mu.Unlock()
+	if limit != before {
+		s.log.Info("server_limit", zap.String("server", id), zap.Float64("per_second", limit), zap.Float64("before", before), zap.String("source", source))
+	}
+	if leaves {
+		s.log.Info("server_states_leave", zap.String("server", id), zap.String("service", string(service)), zap.String("source", source))
+		s.ownership.handleServerDraining(service)
+	}
+	if published || leaves {
+		s.onChange()
+	}
+}
+
+// markLeaving records that an instance has been known to leave since an instant, and
+// reports whether that is new. The caller holds s.mu.
+func (s *server) markLeaving(i roster.Instance, since ident.Instant) bool {
+	if i != s.instance || i.ID == "" {
+		return false
+	}
+	if s.leaving {
+		s.leavingSince = min(s.leavingSince, since)
+		return false
+	}
+	s.leaving, s.leavingSince = true, since
+	return true
+}
+
+// publishLimit sets the limit that the other daemons know, and reports whether they must
+// be told. Small changes are not told: a server may name another limit in each answer.
+// The caller holds s.mu.
+func (s *server) publishLimit(limit float64) bool {
+	if math.Abs(limit-s.published) <= publishedLimitError*s.published && (limit == 0) == (s.published == 0) {
+		return false
+	}
+	s.published = limit
+	return true
+}
+
+// advisory returns what other daemons must know of the server, nil if nothing.
+func (s *server) advisory() *advisory.Advisory {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.statements.Limit()
+	if limit == 0 && !s.leaving {
+		return nil
+	}
+	return &advisory.Advisory{Instance: s.instance, Limit: limit, Leaving: s.leaving, LeavingSince: s.leavingSince}
+}
+
+// limit returns the limit that the server states, in requests per second; zero if there
+// is none.
+func (s *server) limit() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statements.Limit()
+}
