A pooled service's limited server gets what it accepts

The request to be sent counts at a limited server. TestLimitedServerReceivesWhatItAccepts failed before.

--- a/internal/core/balance/estimate.go
+++ b/internal/core/balance/estimate.go
@@ -121,14 +121,17 @@
 		service *= 2
 	}
 	slots := float64(max(o.Slots, 1))
+	inFlight := float64(s.inFlight)
 	if o.Limit > 0 {
-		// By Little's law, a limit is as good as the slots that its requests occupy.
+		// By Little's law, a limit is as good as the slots that its requests occupy. That
+		// may be less than one, so that the request itself must count.
 		slots = min(slots, o.Limit*e.costs.DefaultServiceTime.Seconds())
+		inFlight++
 	}
 	age := now.Sub(s.reportedAt).Seconds()
 	others := s.othersUsage * math.Exp2(-age/e.costs.ReportHalfLife.Seconds())
 	// A server slows down as its slots fill; beyond its slots, requests wait.
-	use := (float64(s.inFlight) + others) / slots
+	use := (inFlight + others) / slots
 	return cost + service*(1+use*use) + service*max(0, use-1)
 }
 
--- a/internal/core/balance/estimate_test.go
+++ b/internal/core/balance/estimate_test.go
@@ -15,11 +15,16 @@
 // times, and returns the number of requests that each host received. The answers
 // include the service time if reported is true.
 func replay(services []time.Duration, requests int, reported bool) map[ident.Host]int {
-	e, rng := NewEstimator(DefaultCosts()), rand.New(rand.NewPCG(1, 2))
 	options := make([]Option, len(services))
 	for i := range services {
 		options[i] = Option{Host: ident.Host(rune('a' + i)), Slots: 4}
 	}
+	return replayOptions(options, services, requests, reported)
+}
+
+// replayOptions is replay with the given options.
+func replayOptions(options []Option, services []time.Duration, requests int, reported bool) map[ident.Host]int {
+	e, rng := NewEstimator(DefaultCosts()), rand.New(rand.NewPCG(1, 2))
 	type runningRequest struct {
 		end  ident.Instant
 		host int
@@ -73,3 +78,19 @@
 	costs := []float64{e.cost(now, Option{Host: "a", Slots: 4}), e.cost(now, Option{Host: "b", Slots: 4})}
 	assert.Assert(t, costs[1] < 1.1*costs[0], "%v", costs)
 }
+
+// Load pattern: one of three servers of a pooled service accepts 5 requests per second although
+// its slots are free, of 50 that arrive. Without the limit it got a third of them, and refused
+// most.
+func TestLimitedServerReceivesWhatItAccepts(t *testing.T) {
+	const limit, requests, interval = 5.0, 1000, 20 * time.Millisecond
+	service := 80 * time.Millisecond
+	received := replayOptions([]Option{{Host: "a", Slots: 4, Limit: limit}, {Host: "b", Slots: 4}, {Host: "c", Slots: 4}}, []time.Duration{service, service, service}, requests, true)
+	accepted := int(limit * (requests * interval).Seconds())
+	assert.Assert(t, received["a"] <= 2*accepted, "%v, the limit accepts %d", received, accepted)
+	assert.Assert(t, received["b"] > 300 && received["c"] > 300, "%v", received)
+
+	// Three times the load: the limited server has to take its part.
+	received = replayOptions([]Option{{Host: "a", Slots: 4, Limit: 20}, {Host: "b", Slots: 4}, {Host: "c", Slots: 4}}, []time.Duration{service, 3 * service, 3 * service}, requests, true)
+	assert.Assert(t, received["a"] > requests/10, "%v", received)
+}
