Calls for the configuration are observed like all others

The follower of the configuration had the log without the observer: its calls were not counted in burdock_store_calls, and a restore that they were the first to see was noticed by the next read of the ownership stream only, up to 20 s later.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -102,7 +102,7 @@
 	d.buildOwnership()
 	d.server = &server{clock: d.clock, ownership: d.ownership, gate: d.gate, log: log, drainTime: cfg.Drain.ServerTime, onChange: func() { d.peers.requestHello() }}
 	d.configs = &configFollower{
-		store: adapter.Log, decode: adapter.DecodeConfig, log: log,
+		store: d.adapter.Log, decode: adapter.DecodeConfig, log: log,
 		pollTime: func() time.Duration { return d.peers.configPollTime() },
 		onChange: func(t *routes.Table, source string) {
 			d.ownership.addAgents(shardedServices(t))
