review: a heartbeat without its lists makes two servers hold the same keys

A heartbeat of another writer that lacks the lists of keys is taken for one of a server that holds none.

--- a/review/cases/staleholds/main.go
+++ b/review/cases/staleholds/main.go
@@ -103,18 +103,7 @@
 	for _, n := range r.Nodes {
 		all = append(all, n.Worker.Holds()...)
 	}
-	longest := time.Duration(0)
-	for _, a := range all {
-		for _, b := range all {
-			if a.Worker == b.Worker || a.From > b.To || b.From > a.To {
-				continue
-			}
-			if both := min(a.Until, b.Until) - max(a.Since, b.Since); both > 0 && a.Since < b.Since {
-				r.Rec.Printf("both hold keys %d-%d for %v: %+v and %+v", max(a.From, b.From), min(a.To, b.To), both, a, b)
-				longest = max(longest, both)
-			}
-		}
-	}
+	longest := rig.LongestOverlap(r.Rec, all)
 	if longest > maxOverlap {
 		r.Rec.Result("OWNER broken: two servers held the same keys for %v", longest)
 		return rig.Broken
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -195,6 +195,28 @@
 	}
 }
 
+// ForeignHeartbeat sends a heartbeat under the name of the server that another writer made: it
+// lacks the lists of keys. ahead is by how much its sequence is greater than the server's last.
+func (w *Worker) ForeignHeartbeat(state string, ahead int) int {
+	w.mu.Lock()
+	id, name, seq, born := w.id, w.name(), w.sequence+ahead, w.born
+	w.mu.Unlock()
+	body, _ := json.Marshal(map[string]any{"service": w.node.Service, "address": w.node.Addr(workerPort), "zone": "zone-a", "version": "v1", "slots": 18,
+		"state": state, "cold_left_ms": 0, "sequence": seq, "born": born})
+	req, err := http.NewRequest(http.MethodPut, "http://"+w.node.Addr(localPort)+"/burdockfold/instances/"+id, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	text, _ := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	w.rec.Printf("another writer: heartbeat %d of %s, state %s, without holds and freed: answered %d %s", seq, name, state, resp.StatusCode, text)
+	return resp.StatusCode
+}
+
 // SetWork sets how long requests take.
 func (w *Worker) SetWork(d time.Duration) { w.mu.Lock(); defer w.mu.Unlock(); w.work = d }
 
@@ -496,7 +518,9 @@
 	w.busy[key]++
 	work, answer := w.workOf(key), w.answer
 	w.mu.Unlock()
-	w.rec.Printf("worker %s: begins %s %s %s key %d", life, id, r.Method, r.RequestURI, key)
+	if !w.rec.Quiet {
+		w.rec.Printf("worker %s: begins %s %s %s key %d", life, id, r.Method, r.RequestURI, key)
+	}
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
