--- a/review/cases/staleholds/main.go
+++ b/review/cases/staleholds/main.go
@@ -20,6 +20,8 @@
 
 const (
 	maxOverlap = 500 * time.Millisecond // of OWNER
+	restart    = 150 * time.Millisecond // from the end of the daemon to its start
+	arrives    = 350 * time.Millisecond // from the start to the late heartbeat
 	staysFor   = 5 * time.Second        // how long the server serves on after its leave
 )
 
@@ -82,10 +84,11 @@
 		}
 		v.Signal(syscall.SIGKILL)
 		v.Wait(time.Second)
-		time.Sleep(150 * time.Millisecond)
+		time.Sleep(restart)
 		if err := v.StartDaemon(); err != nil {
 			return rig.Failed
 		}
+		time.Sleep(arrives)
 		for deliver() != 200 {
 			time.Sleep(5 * time.Millisecond)
 		}
