--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -100,6 +101,13 @@
 		return nil, err
 	}
 	r := &Rig{Store: store, Rec: rec, cfg: cfg, dir: dir}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		r.Close()
+		os.Exit(Failed)
+	}()
 	r.Configure(cfg.Routes)
 	for _, s := range cfg.Services {
 		if _, err := r.AddNode(s); err != nil {
