review: two long bodies end a daemon by its memory

Shown from the list of known faults: two bodies of 60 MiB at the same time, within the operator's limit, take a daemon over 284 MB.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -244,6 +244,23 @@
 	n.rig.Rec.Printf("daemon %s: signal %v", n.IP, s)
 }
 
+// MemoryMB returns the resident memory of the daemon, 0 if it does not run.
+func (n *Node) MemoryMB() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.daemon == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.daemon.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	kb := 0
+	_, _ = fmt.Sscan(rest, &kb)
+	return kb / 1024
+}
+
 // Wait waits until the daemon has ended.
 func (n *Node) Wait(limit time.Duration) bool {
 	n.mu.Lock()
@@ -301,7 +318,6 @@
 	mu    sync.Mutex
 	start time.Time
 	file  *os.File
-	lines []string
 }
 
 func newRecorder(path string) (*Recorder, error) {
