--- a/review/cases/uploads/main.go
+++ b/review/cases/uploads/main.go
@@ -68,7 +68,6 @@
 		fmt.Println("the case could not run:", err)
 		return rig.Failed
 	}
-	r.Rec.Quiet = true // of each run at a server
 	for _, n := range r.Nodes {
 		n.Worker.SetWork(work)
 	}
@@ -217,6 +216,7 @@
 			q.status = resp.StatusCode
 		}
 		q.ended = r.Rec.Now()
+		r.Rec.Printf("client at %s: %s POST /o/1: status %d (%v) after %v", n.IP, q.id, q.status, err, q.ended-q.sent)
 		s.mu.Lock()
 		s.requests = append(s.requests, q)
 		s.mu.Unlock()
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -313,8 +313,6 @@
 
 // Recorder writes what was sent, answered and run to a file, with the time.
 type Recorder struct {
-	Quiet bool // leaves out the runs at the servers
-
 	mu    sync.Mutex
 	start time.Time
 	file  *os.File
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -518,9 +518,7 @@
 	w.busy[key]++
 	work, answer := w.workOf(key), w.answer
 	w.mu.Unlock()
-	if !w.rec.Quiet {
-		w.rec.Printf("worker %s: begins %s %s %s key %d", life, id, r.Method, r.RequestURI, key)
-	}
+	w.rec.Printf("worker %s: begins %s %s %s key %d", life, id, r.Method, r.RequestURI, key)
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
