--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -34,7 +33,6 @@
 	Routes   string   // resources of the operators' configuration, joined by commas
 	DrainMS  int
 	GraceS   int
-	MaxFDs   int // limit of a daemon's descriptors, 0 for that of this process
 }
 
 // Rig is a running deployment.
@@ -53,7 +51,6 @@
 	IP      string
 	Service string
 	Worker  *Worker
-	Link    *Proxy // between the daemon and the store
 
 	rig    *Rig
 	mu     sync.Mutex
@@ -128,9 +125,6 @@
 	n := &Node{IP: fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%200, 1+pid%250, 1+i), Service: service, rig: r}
 	r.Nodes = append(r.Nodes, n)
 	var err error
-	if n.Link, err = newProxy(r.Store.Addr()); err != nil {
-		return n, err
-	}
 	if n.Worker, err = newWorker(r.Rec, n, fmt.Sprintf("i-%04d", i), service == r.cfg.Sharded); err != nil {
 		return n, err
 	}
@@ -153,9 +147,6 @@
 		if n.Worker != nil {
 			n.Worker.close()
 		}
-		if n.Link != nil {
-			n.Link.close()
-		}
 	}
 	_ = r.Store.Close()
 	if os.Getenv("KEEP") == "" {
@@ -197,7 +188,7 @@
 // StartDaemon starts the daemon of the host with the command of the deploy file.
 func (n *Node) StartDaemon() error {
 	file := filepath.Join(n.rig.dir, n.IP+".yaml")
-	text := fmt.Sprintf(settings, n.IP, n.Service, callerPort, localPort, readyPort, meshPort, metricsPort, n.Link.Addr(), n.rig.cfg.DrainMS, n.rig.cfg.GraceS)
+	text := fmt.Sprintf(settings, n.IP, n.Service, callerPort, localPort, readyPort, meshPort, metricsPort, n.rig.Store.Addr(), n.rig.cfg.DrainMS, n.rig.cfg.GraceS)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -206,9 +197,6 @@
 		return err
 	}
 	cmd := exec.Command("target/burdockd", "sidecar", "-settings", file)
-	if f := n.rig.cfg.MaxFDs; f > 0 { // the platform limits the descriptors of a process
-		cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec target/burdockd sidecar -settings %s", f, file))
-	}
 	cmd.Dir, cmd.Stdout, cmd.Stderr = Root(), log, log
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	if err := cmd.Start(); err != nil {
@@ -305,12 +293,6 @@
 	return false
 }
 
-// LogText returns what the daemon has logged.
-func (n *Node) LogText() string {
-	b, _ := os.ReadFile(filepath.Join(n.rig.dir, n.IP+".log"))
-	return string(b)
-}
-
 // Recorder writes what was sent, answered and run to a file, with the time.
 type Recorder struct {
 	mu    sync.Mutex
@@ -342,124 +324,3 @@
 
 // Close closes the file.
 func (r *Recorder) Close() { _ = r.file.Close() }
-
-// ProxyMode is how a proxy treats connections.
-type ProxyMode int
-
-// Modes of a proxy.
-const (
-	Pass   ProxyMode = iota
-	Silent           // bytes are held up, in both directions
-	Reset            // connections are reset
-)
-
-// Proxy forwards TCP connections.
-type Proxy struct {
-	ln     net.Listener
-	target string
-
-	mu    sync.Mutex
-	cond  *sync.Cond
-	mode  ProxyMode
-	conns map[net.Conn]bool
-}
-
-func newProxy(target string) (*Proxy, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	p := &Proxy{ln: ln, target: target, conns: map[net.Conn]bool{}}
-	p.cond = sync.NewCond(&p.mu)
-	go p.serve()
-	return p, nil
-}
-
-// Addr returns the address of the proxy.
-func (p *Proxy) Addr() string { return p.ln.Addr().String() }
-
-// SetMode sets how connections are treated from now on.
-func (p *Proxy) SetMode(m ProxyMode) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.mode = m
-	if m == Reset {
-		for c := range p.conns {
-			reset(c)
-		}
-	}
-	p.cond.Broadcast()
-}
-
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
-func (p *Proxy) close() { _ = p.ln.Close(); p.SetMode(Reset) }
-
-func (p *Proxy) serve() {
-	for {
-		c, err := p.ln.Accept()
-		if err != nil {
-			return
-		}
-		go p.forward(c)
-	}
-}
-
-// pass waits while the proxy is silent. It reports whether bytes are forwarded.
-func (p *Proxy) pass() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for p.mode == Silent {
-		p.cond.Wait()
-	}
-	return p.mode == Pass
-}
-
-func (p *Proxy) forward(c net.Conn) {
-	if !p.pass() {
-		reset(c)
-		return
-	}
-	s, err := net.Dial("tcp4", p.target)
-	if err != nil {
-		reset(c)
-		return
-	}
-	p.mu.Lock()
-	p.conns[c], p.conns[s] = true, true
-	p.mu.Unlock()
-	done := make(chan struct{}, 2)
-	move := func(dst, src net.Conn) {
-		buf := make([]byte, 32<<10)
-		for {
-			n, err := src.Read(buf)
-			if n > 0 {
-				if !p.pass() {
-					break
-				}
-				if _, werr := dst.Write(buf[:n]); werr != nil {
-					break
-				}
-			}
-			if err != nil {
-				break
-			}
-		}
-		done <- struct{}{}
-	}
-	go move(s, c)
-	go move(c, s)
-	<-done
-	_ = c.Close()
-	_ = s.Close()
-	<-done
-	p.mu.Lock()
-	delete(p.conns, c)
-	delete(p.conns, s)
-	p.mu.Unlock()
-}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -28,7 +28,6 @@
 	Since   time.Duration
 	Until   time.Duration // of the last grant, or when it was released
 	Granted time.Duration // when the last grant arrived
-	Warm    bool          // it came with the handover of the last holder
 }
 
 // Run is a request that a server began to work on.
@@ -65,15 +64,12 @@
 	server   *http.Server
 	stop     chan struct{}
 	wake     chan struct{}
-	header   map[string]string
-	duration func(sinceStart, sinceTaken time.Duration) time.Duration
-	started  time.Duration
 	granted  time.Duration // when the last heartbeat was sent that was answered with a grant
 }
 
 func newWorker(rec *Recorder, n *Node, id string, sharded bool) (*Worker, error) {
 	w := &Worker{rec: rec, node: n, id: id, sharded: sharded, work: 20 * time.Millisecond, busy: map[int64]int{},
-		client: &http.Client{Timeout: time.Second}, stop: make(chan struct{}), wake: make(chan struct{}, 1), header: map[string]string{}}
+		client: &http.Client{Timeout: time.Second}, stop: make(chan struct{}), wake: make(chan struct{}, 1)}
 	if err := w.Start(id); err != nil {
 		return nil, err
 	}
@@ -91,7 +87,6 @@
 	defer w.mu.Unlock()
 	w.id, w.born, w.sequence, w.state, w.up, w.beats = id, time.Now().UnixMilli(), 0, "ready", true, true
 	w.holds, w.fences, w.freed, w.busy = nil, nil, nil, map[int64]int{}
-	w.started = w.rec.Now()
 	life := w.name()
 	w.server = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(rw, r, life) })}
 	go func(s *http.Server) { _ = s.Serve(ln) }(w.server)
@@ -126,14 +121,6 @@
 	w.rec.Printf("worker %s: crash", w.name())
 }
 
-// Drain makes the heartbeats say that the server leaves.
-func (w *Worker) Drain() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.state = "draining"
-	w.rec.Printf("worker %s: drains", w.name())
-}
-
 // Leave sends the call that announces the end of the server, and no heartbeats from then on.
 // It returns the status of the answer. The server goes on serving until Crash is called.
 func (w *Worker) Leave() int {
@@ -220,29 +207,6 @@
 // SetWork sets how long requests take.
 func (w *Worker) SetWork(d time.Duration) { w.mu.Lock(); defer w.mu.Unlock(); w.work = d }
 
-// SetDuration sets a function that returns how long a request takes, from the time since the
-// start of the server and since it took the key without a handover; the latter is large for
-// other keys.
-func (w *Worker) SetDuration(f func(sinceStart, sinceTaken time.Duration) time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.duration = f
-}
-
-// workOf returns how long a request for a key takes. The caller holds w.mu.
-func (w *Worker) workOf(key int64) time.Duration {
-	if w.duration == nil {
-		return w.work
-	}
-	now, taken := w.rec.Now(), time.Hour
-	for _, h := range w.holds {
-		if h.From <= key && key <= h.To && !h.Warm {
-			taken = now - h.Since
-		}
-	}
-	return w.duration(now-w.started, taken)
-}
-
 // SetAnswer sets what answers the requests that have run. It returns false to leave that to
 // the server.
 func (w *Worker) SetAnswer(f func(http.ResponseWriter, *http.Request, []byte) bool) {
@@ -251,13 +215,6 @@
 	w.answer = f
 }
 
-// SetHeader sets a field of all answers.
-func (w *Worker) SetHeader(name, value string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.header[name] = value
-}
-
 func (w *Worker) close() {
 	close(w.stop)
 	w.Crash()
@@ -436,10 +393,7 @@
 			}
 		}
 		if h == nil {
-			h = &Hold{Row: r, Worker: w.name(), Since: now, Warm: len(x) > 3 && x[3] != ""}
-			for _, o := range old {
-				h.Warm = h.Warm || o.From <= r.From && r.To <= o.To && now-o.Since > 2*time.Second
-			}
+			h = &Hold{Row: r, Worker: w.name(), Since: now}
 			w.all = append(w.all, h)
 			w.rec.Printf("worker %s: takes %d-%d generation %d for %v", w.name(), r.From, r.To, r.Fence, until-now)
 		}
@@ -503,9 +457,6 @@
 		key = -1
 	}
 	w.mu.Lock()
-	for n, v := range w.header {
-		rw.Header().Set(n, v)
-	}
 	w.expire(w.rec.Now())
 	if w.name() != life || r.Header.Get("X-Target-Instance") != w.id || w.sharded && !w.held(key) {
 		w.mu.Unlock()
@@ -516,7 +467,7 @@
 	run := &Run{ID: id, Worker: life, Caller: r.Header.Get("X-Caller-Service"), Key: key, At: w.rec.Now(), Body: len(body), Method: r.Method, URI: r.RequestURI}
 	w.runs = append(w.runs, run)
 	w.busy[key]++
-	work, answer := w.workOf(key), w.answer
+	work, answer := w.work, w.answer
 	w.mu.Unlock()
 	w.rec.Printf("worker %s: begins %s %s %s key %d", life, id, r.Method, r.RequestURI, key)
 	select {
