routes, settings: allowed regions, cold rates and the resources of a host are decoded

Cause: the configuration's allowed_regions, cold_start_s and cold_per_s, and the settings' bounds for cold servers and limits of the host, were ignored without a line.

Change: they are decoded, checked and kept in the product's own types. Nothing uses them yet: behaviour is unchanged.

--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -31,11 +31,12 @@
 	Host          string
 	Prefix        string
 	Shares        []Share
-	Idempotent    bool          // a request may run more than once
-	Timeout       time.Duration // longest time until the final answer; zero means no limit
-	TargetLatency time.Duration // time within which an answer is most valuable
-	MaxAttempts   int           // maximum number of backend servers that one request may reach
-	Priority      int           // 0 is the most urgent
+	Idempotent    bool           // a request may run more than once
+	Timeout       time.Duration  // longest time until the final answer; zero means no limit
+	TargetLatency time.Duration  // time within which an answer is most valuable
+	MaxAttempts   int            // maximum number of backend servers that one request may reach
+	Priority      int            // 0 is the most urgent
+	Regions       []ident.Region // the only regions where its requests may run; empty allows all
 }
 
 // Service is a set of backend servers that run the same program.
@@ -46,6 +47,8 @@
 	Sharded        bool          // the service's data is divided by shard key
 	GrantByCall    bool          // its servers receive grants of keys by calls, not in the answers to their heartbeats
 	WarmupTime     time.Duration // time that keys are slow after a move without a transfer token
+	ColdTime       time.Duration // time that a server is slow after its start
+	ColdRate       float64       // requests per second that a cold server tolerates; zero means any number
 }
 
 // Limits bounds what a caller may send.
@@ -67,6 +70,11 @@
 // Validate returns all problems of the routes, joined, or nil.
 func (c Config) Validate() error {
 	var problems []error
+	for _, s := range c.Services {
+		if s.ColdRate < 0 || s.ColdRate != s.ColdRate {
+			problems = append(problems, fmt.Errorf("routes: service %q: invalid rate %g of cold servers", s.Name, s.ColdRate))
+		}
+	}
 	for _, r := range c.Routes {
 		if err := c.validateRoute(r); err != nil {
 			problems = append(problems, fmt.Errorf("routes: route %q: %w", r.Name, err))
@@ -83,6 +91,8 @@
 		return fmt.Errorf("prefix %q does not begin with a slash", r.Prefix)
 	case len(r.Shares) == 0:
 		return errors.New("no service")
+	case slices.Contains(r.Regions, ""):
+		return errors.New("an allowed region without a name")
 	case r.Timeout < 0 || r.MaxAttempts < 0:
 		return errors.New("timeout or maximum of attempts is negative")
 	}
@@ -102,6 +112,11 @@
 	return nil
 }
 
+// Allows reports whether requests of the route may run in a region.
+func (r *Route) Allows(region ident.Region) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+}
+
 // Table finds the route of a request. It is immutable.
 type Table struct {
 	Config
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -20,6 +20,8 @@
 	Ownership Ownership        `yaml:"ownership"`
 	Retries   Retries          `yaml:"retries"`
 	Drain     Drain            `yaml:"drain"`
+	Cold      Cold             `yaml:"cold"`
+	Resources Resources        `yaml:"resources"`
 	Telemetry Telemetry        `yaml:"telemetry"`
 }
 
@@ -72,6 +74,20 @@
 	GraceTime  time.Duration `yaml:"grace_time"`  // from SIGTERM until the platform kills the process
 }
 
+// Cold bounds the requests that a cold server gets in any second: the rate that its service
+// tolerates times Factor, plus Slack.
+type Cold struct {
+	Factor float64 `yaml:"factor"`
+	Slack  float64 `yaml:"slack"` // requests
+}
+
+// Resources are what the host grants to the daemon's process. Zero means unknown.
+type Resources struct {
+	MemoryMB int     `yaml:"memory_mb"` // the process is killed above it
+	LinkMbps float64 `yaml:"link_mbps"` // of the host's link, in each direction
+	CPUShare float64 `yaml:"cpu_share"` // of one core
+}
+
 // DefaultSidecar returns the settings that apply where the file sets none.
 func DefaultSidecar() Sidecar {
 	return Sidecar{
@@ -95,6 +111,7 @@
 		},
 		Retries:   Retries{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 		Drain:     Drain{ServerTime: 2500 * time.Millisecond, GraceTime: 6 * time.Second},
+		Cold:      Cold{Factor: 1},
 		Telemetry: Telemetry{LogLevel: "info", TraceExporter: TraceNone, TraceRatio: 0.01, Metrics: true},
 	}
 }
@@ -153,6 +170,12 @@
 	if s.Retries.Ratio < 0 || s.Retries.Allowance < 0 {
 		p.add("retries.ratio", "must not be negative, nor retries.allowance")
 	}
+	if s.Cold.Factor < 0 || s.Cold.Slack < 0 {
+		p.add("cold.factor", "must not be negative, nor cold.slack")
+	}
+	if s.Resources.MemoryMB < 0 || s.Resources.LinkMbps < 0 || s.Resources.CPUShare < 0 {
+		p.add("resources", "must not be negative")
+	}
 	Settings{Telemetry: s.Telemetry}.checkTelemetry(&p)
 	return p.errOrNil()
 }
