routes: requests run only in the regions that their route allows

The allowed regions of a route were decoded but no decision knew them, so that its requests were sent to servers of any region.

The chooser now leaves out daemons in other regions, for pooled and sharded services and for suspected requests, and judges a request by the newest route of its name at each attempt. The daemon beside the server checks its own configuration once more before and after the wait for a slot; the sender then tries no other server of that region. A request whose key is owned elsewhere is refused at once (new kind region-not-allowed, 503, not run). A route without a server in its regions is logged once a change (route_without_server, route_with_server).

Seen failing with the rule taken out: the filter of pooled targets, the check of the owner's region, the bar after a refusal, the check at the server's daemon, and the memory of logged gaps, each by its test in internal/sidecar/regions_test.go. The model of retry decisions now draws all kinds up to the new one (before: up to key-reused).

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -118,7 +118,7 @@
 	case errkind.NotOwner, errkind.NoOwner, errkind.LeaseLapsed,
 		errkind.PeerUnreachable, errkind.Draining, errkind.HopLimit:
 		return ownerMoving
-	case errkind.Overloaded, errkind.BackendUnavailable, errkind.BackendRefused, errkind.RateLimited:
+	case errkind.Overloaded, errkind.BackendUnavailable, errkind.BackendRefused, errkind.RateLimited, errkind.RegionNotAllowed:
 		return serverBusy
 	case errkind.OutcomeUnknown, errkind.PeerProtocol, errkind.AnswerCut, errkind.Internal:
 		return outcomeLost
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -20,7 +20,7 @@
 		return v
 	}
 	f := retry.Failure{
-		Kind:            errkind.Kind(pick(int(errkind.KeyReused) + 1)),
+		Kind:            errkind.Kind(pick(int(errkind.RegionNotAllowed) + 1)),
 		Truth:           []errkind.Truth{errkind.NotRun, errkind.Ran, errkind.Unknown}[pick(3)],
 		Point:           retry.FailurePoint(pick(int(retry.InAnswer) + 1)),
 		PriorTruth:      []errkind.Truth{"", errkind.NotRun, errkind.Ran, errkind.Unknown}[pick(4)],
@@ -69,7 +69,7 @@
 	switch {
 	case notRun && isOneOf(errkind.NotOwner, errkind.NoOwner, errkind.LeaseLapsed, errkind.PeerUnreachable, errkind.Draining, errkind.HopLimit):
 		return f.Attempts < p.MaxAttemptsDuringMove, answered
-	case notRun && isOneOf(errkind.Overloaded, errkind.BackendUnavailable, errkind.BackendRefused, errkind.RateLimited):
+	case notRun && isOneOf(errkind.Overloaded, errkind.BackendUnavailable, errkind.BackendRefused, errkind.RateLimited, errkind.RegionNotAllowed):
 		if !f.Pooled {
 			return f.Kind == errkind.BackendRefused && withinMax, answered
 		}
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -121,14 +121,16 @@
 type Table struct {
 	Config
 	byHost map[string][]*Route // longest prefix first
+	byName map[string][]*Route
 }
 
 // NewTable returns the route table of a configuration.
 func NewTable(c Config) *Table {
-	t := &Table{Config: c, byHost: make(map[string][]*Route)}
+	t := &Table{Config: c, byHost: make(map[string][]*Route), byName: make(map[string][]*Route)}
 	for i := range c.Routes {
 		host := strings.ToLower(c.Routes[i].Host)
 		t.byHost[host] = append(t.byHost[host], &c.Routes[i])
+		t.byName[c.Routes[i].Name] = append(t.byName[c.Routes[i].Name], &c.Routes[i])
 	}
 	for _, rs := range t.byHost {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
--- a/internal/edge/dispatch.go
+++ b/internal/edge/dispatch.go
@@ -129,7 +129,7 @@
 // nil.
 func (d *Dispatcher) Serve(ctx context.Context, r *hop.Request, route *routes.Route) *hop.Answer {
 	started := d.clock.Now()
-	r.Service = d.assignService(route, started)
+	r.Service, r.Regions = d.assignService(route, started), route.Regions
 	endSpan := d.tracer.Start(r, "burdock.request", trace.SpanKindServer)
 	var p progress
 	var a *hop.Answer
--- a/internal/explain/meaning.go
+++ b/internal/explain/meaning.go
@@ -16,6 +16,7 @@
 	"outcome-unknown":       "The connection failed after the request was sent; it may have run.",
 	"answer-cut":            "The answer did not arrive completely or failed validation; the request ran or may have run.",
 	"unconfigured":          "The daemon had no configuration yet; look for config_in_force.",
+	"region-not-allowed":    "No backend server in the regions that the route allows could take it; look for route_without_server, or for the owner of the key.",
 	"quarantined":           "Servers ended while they ran this request, one after the other; look for server_crashed and request_quarantined.",
 	"no-route":              "No route of the configuration in force matches the request's host and path.",
 	"canceled":              "The caller closed the connection before the answer.",
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -60,6 +60,11 @@
 	Caller     string // service that sent the request, on the host where it originated
 	Trace      string // W3C traceparent, empty if the request has none
 
+	// Regions are the regions that the matched route allows, empty for all; BarredRegions are
+	// those of daemons that refused the request for their region. They are not sent to other
+	// daemons, which go by their own configuration.
+	Regions, BarredRegions []ident.Region
+
 	// Advisory is what the daemon where the request began knows of the target's backend
 	// server from earlier answers; nil if nothing.
 	Advisory *advisory.Advisory
--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -11,6 +11,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/quarantine"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
+	"github.com/burdockfold/burdockfold/internal/core/routes"
 	"github.com/burdockfold/burdockfold/internal/edge"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 	"github.com/burdockfold/burdockfold/internal/hop"
@@ -25,6 +26,7 @@
 	ownership *ownership
 	suspects  *suspects
 	clock     ident.Clock
+	routes    func() *routes.Table // the configuration in force, nil before the first
 
 	mu        sync.Mutex // guards the fields below
 	estimator *balance.Estimator
@@ -61,6 +63,9 @@
 	if !ok {
 		return edge.Target{}, withMoveRetryAfter(errkind.New(errkind.NoOwner, "the owner %s of key %d is not known", host, r.Key))
 	}
+	if !c.allows(r, p.Location.Region) {
+		return edge.Target{}, elsewhere(r, p.Location.Region)
+	}
 	return c.targetOf(p), nil
 }
 
@@ -80,7 +85,13 @@
 // reports whether untried ones remain.
 func (c *chooser) choosePooled(r *hop.Request, tried []ident.Host) (edge.Target, bool, *errkind.Error) {
 	ps := c.peers.availableServers(r.Service, tried)
-	if len(ps) == 0 {
+	known := len(ps)
+	ps = slices.DeleteFunc(ps, func(p roster.Peer) bool { return !c.allows(r, p.Location.Region) })
+	switch {
+	case len(ps) > 0:
+	case known > 0:
+		return edge.Target{}, false, errkind.New(errkind.RegionNotAllowed, "none of %d backend servers of %q is in a region that route %q allows", known, r.Service, r.Route)
+	default:
 		e := errkind.New(errkind.BackendUnavailable, "no backend server of %q is left of those known", r.Service)
 		return edge.Target{}, false, e
 	}
@@ -149,6 +160,9 @@
 func (c *chooser) RecordAnswer(t edge.Target, r *hop.Request, a *hop.Answer) {
 	now := c.clock.Now()
 	c.suspects.learn(r.Fingerprint, a.Suspicion)
+	if a.Failure != nil && a.Failure.Kind == errkind.RegionNotAllowed {
+		c.barRegionOf(t, r)
+	}
 	c.mu.Lock()
 	c.book.Record(t.Peer.Member.Host, a.Advisory, a.Failure == nil)
 	c.estimator.RecordEnd(now, t.Peer.Member.Host, a.Failure != nil && a.Failure.Kind != errkind.Canceled, a.Load.Running, a.Load.Waiting, r.Route, a.ServiceTime)
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -220,9 +220,10 @@
 	bodies := &hop.BodyBudget{}
 	d.origin = origin.NewClient(d.adapter.HeaderNames, maxServerConnections, d.clock)
 	crashes := &crashWatch{server: d.server, accepts: d.origin.Accepts, clock: d.clock, metrics: d.metrics, log: d.log, onCrash: d.suspects.recordCrash, runs: quarantine.NewRuns()}
-	d.executor = &executor{server: d.server, ownership: d.ownership, gate: d.gate, client: d.origin, crashes: crashes, suspects: d.suspects, stop: d.bounds, clock: d.clock, metrics: d.metrics, log: d.log}
+	d.executor = &executor{server: d.server, ownership: d.ownership, gate: d.gate, client: d.origin, crashes: crashes, suspects: d.suspects, stop: d.bounds, clock: d.clock, metrics: d.metrics, log: d.log,
+		regions: &regionGuard{region: d.cfg.Host.Region, routes: d.configs.Routes}}
 	targetChooser := &chooser{
-		peers: d.peers, ownership: d.ownership, suspects: d.suspects, clock: d.clock,
+		peers: d.peers, ownership: d.ownership, suspects: d.suspects, clock: d.clock, routes: d.configs.Routes,
 		estimator: balance.NewEstimator(balance.DefaultCosts()),
 		book:      advisory.NewBook(),
 		rng:       rand.New(rand.NewPCG(uint64(d.member.Incarnation), uint64(os.Getpid()))),
--- a/internal/sidecar/executor.go
+++ b/internal/sidecar/executor.go
@@ -36,6 +36,7 @@
 	suspects  *suspects
 	stop      *hop.Stop
 	clock     ident.Clock
+	regions   *regionGuard
 
 	metrics *metrics
 	tracer  *hop.Tracer // nil records no spans
@@ -157,6 +158,9 @@
 
 // checkAllowed returns nil if the server may run the request now, otherwise the reason.
 func (x *executor) checkAllowed(r *hop.Request) *errkind.Error {
+	if e := x.regions.check(r); e != nil {
+		return e
+	}
 	_, leaving, ok := x.server.target(r.Service)
 	sharded := x.ownership.isSharded(r.Service)
 	switch {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -13,6 +13,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
+	"github.com/burdockfold/burdockfold/internal/core/routes"
 	"github.com/burdockfold/burdockfold/internal/logservice"
 	"github.com/burdockfold/burdockfold/internal/mesh"
 )
@@ -61,6 +62,8 @@
 	relay       relayState
 	firstListed map[ident.Host]bool // the hosts of each failure domain that a new daemon greets, because they are its likely relays
 
+	gaps []routes.Gap // as last logged; only the duty that sends messages uses it
+
 	statesAskedAt ident.Instant // when a monitor was last asked for the states of the members
 	statesAt      ident.Instant // when states last arrived
 }
@@ -121,6 +124,7 @@
 			p.relayEntries()
 			p.sendConsents()
 			p.requestConfig()
+			p.logGaps()
 			p.suspects.deleteOld(p.daemonCount())
 		}
 	}
