balance: a request leaves its region only for room that is missing there

Another region was priced as a flat 90 ms whatever a request's size, and the least estimate of all servers was chosen, so that requests crossed for small differences. A server of which nothing had been heard for seconds counted as idle to every daemon at once.

The choice is now made in the caller's region first. Another region is taken only if home is not expected to answer well within the target latency and it is, and if the gain in time is worth the bytes (body, and the mean answer of the route), or if home is not expected to answer before the deadline at all. Without a target latency the flat price stays. A refusal for lack of room is forgotten within seconds; a failed request without a report no longer makes the server look idle. Room and pace of balance.Report and the rate that a cold server tolerates are taken into account.

Existing tests are adapted to the new signatures only.

--- a/internal/core/balance/estimate.go
+++ b/internal/core/balance/estimate.go
@@ -20,10 +20,13 @@
 // Costs sets the components of an estimate.
 type Costs struct {
 	CrossDomain        time.Duration // round trip to another failure domain of the region
-	CrossRegion        time.Duration // round trip to another region, including the price of its traffic
+	RegionRoundTrip    time.Duration // round trip to another region
+	CrossRegion        time.Duration // the same with the price of its traffic, for requests without a target
+	CrossRegionPerKB   time.Duration // gain in time that is worth the traffic of 1,000 bytes between regions
 	DefaultServiceTime time.Duration // assumed service time of a request
 	Failure            time.Duration // what a failed request costs its caller
 	ReportHalfLife     time.Duration // age at which a load report counts half
+	RefusalHalfLife    time.Duration // age at which a refusal counts half
 	RetryInterval      time.Duration // time between two requests to an unreachable server
 }
 
@@ -31,10 +34,13 @@
 func DefaultCosts() Costs {
 	return Costs{
 		CrossDomain:        5 * time.Millisecond,
+		RegionRoundTrip:    60 * time.Millisecond,
 		CrossRegion:        90 * time.Millisecond,
+		CrossRegionPerKB:   10 * time.Millisecond,
 		DefaultServiceTime: 100 * time.Millisecond,
 		Failure:            400 * time.Millisecond,
 		ReportHalfLife:     time.Second,
+		RefusalHalfLife:    time.Second,
 		RetryInterval:      time.Second,
 	}
 }
@@ -46,31 +52,70 @@
 	Slots       int
 	Limit       float64 // requests per second that it accepts; zero if it states no limit
 	Cold        bool    // started recently and still slow
+	ColdRate    float64 // requests per second that it tolerates while cold; zero means any number
 	Unreachable bool    // a call failed, and no sign of life has arrived since
 }
 
+// limit returns the requests per second that the server accepts now, zero without a limit.
+func (o *Option) limit() float64 {
+	switch {
+	case !o.Cold || o.ColdRate == 0:
+		return o.Limit
+	case o.Limit == 0:
+		return o.ColdRate
+	}
+	return min(o.Limit, o.ColdRate)
+}
+
+// Report is what the daemon beside a server says of its load with an answer.
+type Report struct {
+	Running, Waiting, Slots int
+	Room                    float64 // requests at once that the server takes well; zero if unknown
+	Pace                    float64 // service time now relative to the usual one; zero if unknown
+}
+
+// Outcome is the end of a request.
+type Outcome struct {
+	Failed      bool
+	Refused     bool // not run for lack of room; implies Failed
+	Report      Report
+	Route       string
+	ServiceTime time.Duration // zero if unknown
+	Bytes       int           // of the answer's body
+}
+
 // observation is what this daemon observed of one server.
 type observation struct {
 	inFlight    int     // requests of this daemon
 	othersUsage float64 // slots in use and waiting requests of other daemons, as last reported
+	room, pace  float64 // as last reported
 	reportedAt  ident.Instant
 	slowness    float64 // mean of its service times, each divided by the mean of all servers for the route
 	failureRate float64 // smoothed fraction of failed requests
+	refusalRate float64 // smoothed fraction of requests that it had no room for, at refusedAt
+	refusedAt   ident.Instant
 	lastSent    ident.Instant
 }
 
+// routeStats is what this daemon learned of a route.
+type routeStats struct {
+	serviceTime float64 // mean over all servers, in seconds
+	answerBytes float64 // mean length of the answers' bodies
+}
+
 // Estimator chooses the server that is expected to answer first, based on the
 // load, service times and failures that answers report. It is not safe for
 // concurrent use.
 type Estimator struct {
 	costs        Costs
 	observations map[ident.Host]*observation
-	routeMeans   map[string]float64 // mean service time of each route over all servers, in seconds
+	routes       map[string]*routeStats
+	slowdown     float64 // mean of slowdown over all reports
 }
 
 // NewEstimator returns an estimator without observations.
 func NewEstimator(c Costs) *Estimator {
-	return &Estimator{costs: c, observations: make(map[ident.Host]*observation), routeMeans: make(map[string]float64)}
+	return &Estimator{costs: c, observations: make(map[ident.Host]*observation), routes: make(map[string]*routeStats), slowdown: 1}
 }
 
 func (e *Estimator) observationOf(h ident.Host) *observation {
@@ -82,57 +127,109 @@
 	return s
 }
 
-// Best returns the index of the option that is expected to answer first, or -1 if
-// there are no options. The random source breaks ties.
-func (e *Estimator) Best(now ident.Instant, rng Random, options []Option) int {
-	best, bestCost, ties := -1, math.Inf(1), 0
-	for i, o := range options {
-		switch cost := e.cost(now, o); {
-		case cost < bestCost:
-			best, bestCost, ties = i, cost, 1
-		case cost == bestCost:
-			ties++
-			if rng.IntN(ties) == 0 {
-				best = i
-			}
-		}
+// slowdownAt returns the factor by which a server's service time grows with its use, the
+// requests that it has per slot.
+func slowdownAt(use float64) float64 { return 1 + use*use }
+
+// maxReportedUse bounds the use of a report in the mean of slowdown.
+const maxReportedUse = 2
+
+// decay returns the weight of an observation at an age.
+func decay(age, halfLife time.Duration) float64 {
+	return math.Exp2(-age.Seconds() / halfLife.Seconds())
+}
+
+// capacity returns how many requests at once an option takes well.
+func (e *Estimator) capacity(o *Option, s *observation) float64 {
+	c := float64(max(o.Slots, 1))
+	if s.room > 0 {
+		c = min(c, max(s.room, 1))
+	}
+	if limit := o.limit(); limit > 0 {
+		// By Little's law, a limit is as good as the slots that its requests occupy.
+		c = min(c, limit*e.costs.DefaultServiceTime.Seconds())
 	}
-	return best
+	return c
 }
 
-// cost returns the expected time until the answer, in seconds.
-func (e *Estimator) cost(now ident.Instant, o Option) float64 {
+// view is how loaded an option is expected to be.
+type view struct {
+	use      float64 // requests per request of its capacity
+	slowness float64 // service time relative to that of all servers
+	failures float64 // fraction of requests that fail or are refused
+	blocked  bool    // unreachable, and not to be tried again yet
+}
+
+// viewOf returns the view of an option, given the mean use by other daemons of the servers
+// around it. Its own report counts less with its age: other daemons have acted on reports of
+// their own since, and if each daemon took a silent server for an idle one, they would all
+// choose the same.
+func (e *Estimator) viewOf(now ident.Instant, o *Option, meanOthers float64, choosers int) view {
 	s := e.observationOf(o.Host)
-	if o.Unreachable && now.Sub(s.lastSent) < e.costs.RetryInterval {
+	capacity := e.capacity(o, s)
+	inFlight := float64(s.inFlight)
+	limit := o.limit()
+	if limit > 0 {
+		inFlight++ // the capacity may be less than one, so that the request itself must count
+	}
+	fresh := decay(now.Sub(s.reportedAt), e.costs.ReportHalfLife)
+	v := view{
+		use:      inFlight/capacity + fresh*s.othersUsage/capacity + (1-fresh)*meanOthers,
+		slowness: 1,
+		failures: min(s.failureRate+s.refusalRate*decay(now.Sub(s.refusedAt), e.costs.RefusalHalfLife), 1),
+		blocked:  o.Unreachable && now.Sub(s.lastSent) < e.costs.RetryInterval,
+	}
+	if s.slowness > slownessThreshold {
+		v.slowness = s.slowness
+	}
+	if s.pace > 0 {
+		v.slowness = max(v.slowness, 1+(s.pace-1)*fresh)
+	}
+	if o.Cold {
+		v.slowness *= 2
+	}
+	if o.Cold && o.ColdRate > 0 {
+		// Nobody coordinates the daemons: each sends its part of the rate, as if the others did
+		// the same.
+		interval := float64(max(choosers, 1)) / limit
+		v.use = max((float64(s.inFlight)+fresh*s.othersUsage)/capacity, interval/max(now.Sub(s.lastSent), time.Millisecond).Seconds())
+	}
+	return v
+}
+
+// cost ranks options of one distance: the expected time until the answer in seconds.
+func (e *Estimator) cost(o *Option, v view) float64 {
+	if v.blocked {
+		return math.MaxFloat64
+	}
+	cost := v.failures * e.costs.Failure.Seconds()
+	if o.Distance == SameRegion {
+		cost += e.costs.CrossDomain.Seconds()
+	}
+	// A server slows down as its slots fill; beyond its slots, requests wait.
+	service := e.costs.DefaultServiceTime.Seconds() * v.slowness
+	return cost + service*(slowdownAt(v.use)+max(0, v.use-1))
+}
+
+// answerTime returns the time after which an option is expected to answer a request of a
+// route, in seconds. Unlike cost it is absolute, so that it can be compared with a target.
+func (e *Estimator) answerTime(route string, o *Option, v view) float64 {
+	if v.blocked {
 		return math.MaxFloat64
 	}
-	cost := s.failureRate * e.costs.Failure.Seconds()
+	t := v.failures * e.costs.Failure.Seconds()
 	switch o.Distance {
 	case SameRegion:
-		cost += e.costs.CrossDomain.Seconds()
+		t += e.costs.CrossDomain.Seconds()
 	case OtherRegion:
-		cost += e.costs.CrossRegion.Seconds()
+		t += e.costs.RegionRoundTrip.Seconds()
 	}
 	service := e.costs.DefaultServiceTime.Seconds()
-	if s.slowness > slownessThreshold {
-		service *= s.slowness
-	}
-	if o.Cold {
-		service *= 2
+	if r := e.routes[route]; r != nil && r.serviceTime > 0 {
+		service = r.serviceTime
 	}
-	slots := float64(max(o.Slots, 1))
-	inFlight := float64(s.inFlight)
-	if o.Limit > 0 {
-		// By Little's law, a limit is as good as the slots that its requests occupy. That
-		// may be less than one, so that the request itself must count.
-		slots = min(slots, o.Limit*e.costs.DefaultServiceTime.Seconds())
-		inFlight++
-	}
-	age := now.Sub(s.reportedAt).Seconds()
-	others := s.othersUsage * math.Exp2(-age/e.costs.ReportHalfLife.Seconds())
-	// A server slows down as its slots fill; beyond its slots, requests wait.
-	use := (inFlight + others) / slots
-	return cost + service*(1+use*use) + service*max(0, use-1)
+	service *= v.slowness
+	return t + service*(slowdownAt(v.use)/e.slowdown+max(0, v.use-1))
 }
 
 // RecordSent records that a request was sent to a server.
@@ -155,31 +252,49 @@
 // appear slow.
 const routeSmoothing = 0.02
 
-// RecordEnd records the end of a request. The server's daemon reports the numbers
-// of running and waiting requests; serviceTime is the service time of the request,
-// or zero if it is unknown.
-func (e *Estimator) RecordEnd(now ident.Instant, h ident.Host, failed bool, running, waiting int, route string, serviceTime time.Duration) {
+// RecordEnd records the end of a request.
+func (e *Estimator) RecordEnd(now ident.Instant, h ident.Host, o Outcome) {
 	s := e.observationOf(h)
 	s.inFlight = max(s.inFlight-1, 0)
-	s.othersUsage, s.reportedAt = max(float64(running+waiting-s.inFlight), 0), now
-	if failed {
-		s.failureRate += smoothing * (1 - s.failureRate)
+	if r := o.Report; r.Slots > 0 { // otherwise the daemon beside the server said nothing
+		s.othersUsage, s.reportedAt = max(float64(r.Running+r.Waiting-s.inFlight), 0), now
+		s.room, s.pace = r.Room, r.Pace
+		use := min(float64(r.Running+r.Waiting)/float64(r.Slots), maxReportedUse)
+		e.slowdown += routeSmoothing * (slowdownAt(use) - e.slowdown)
+	}
+	refused := 0.0
+	if o.Refused {
+		refused = 1
+	}
+	s.refusalRate *= decay(now.Sub(s.refusedAt), e.costs.RefusalHalfLife)
+	s.refusalRate, s.refusedAt = s.refusalRate+smoothing*(refused-s.refusalRate), now
+	if o.Failed {
+		if !o.Refused {
+			s.failureRate += smoothing * (1 - s.failureRate)
+		}
 		return
 	}
 	s.failureRate -= smoothing * s.failureRate
-	if serviceTime > 0 {
-		s.slowness += smoothing * (serviceTime.Seconds()/e.updateRouteMean(route, serviceTime) - s.slowness)
+	mean := e.updateRoute(o)
+	if o.ServiceTime > 0 {
+		s.slowness += smoothing * (o.ServiceTime.Seconds()/mean - s.slowness)
 	}
 }
 
-// updateRouteMean adds one service time to the mean of a route and returns the new
-// mean in seconds.
-func (e *Estimator) updateRouteMean(route string, serviceTime time.Duration) float64 {
-	m, ok := e.routeMeans[route]
-	if !ok {
-		m = serviceTime.Seconds()
+// updateRoute adds an answer to the means of its route and returns the new mean service time
+// in seconds.
+func (e *Estimator) updateRoute(o Outcome) float64 {
+	r := e.routes[o.Route]
+	if r == nil {
+		r = &routeStats{answerBytes: float64(o.Bytes)}
+		e.routes[o.Route] = r
+	}
+	r.answerBytes += routeSmoothing * (float64(o.Bytes) - r.answerBytes)
+	if o.ServiceTime > 0 {
+		if r.serviceTime == 0 {
+			r.serviceTime = o.ServiceTime.Seconds()
+		}
+		r.serviceTime += routeSmoothing * (o.ServiceTime.Seconds() - r.serviceTime)
 	}
-	m += routeSmoothing * (serviceTime.Seconds() - m)
-	e.routeMeans[route] = m
-	return m
+	return r.serviceTime
 }
--- a/internal/core/balance/estimate_test.go
+++ b/internal/core/balance/estimate_test.go
@@ -43,11 +43,11 @@
 			if !reported {
 				serviceTime = 0
 			}
-			e.RecordEnd(r.end, options[r.host].Host, false, 0, 0, "r", serviceTime)
+			e.RecordEnd(r.end, options[r.host].Host, Outcome{Route: "r", ServiceTime: serviceTime})
 			running = slices.Delete(running, i, i+1)
 			i--
 		}
-		best := e.Best(now, rng, options)
+		best := e.Best(now, rng, Demand{Choosers: 1}, options)
 		e.RecordSent(now, options[best].Host)
 		received[options[best].Host]++
 		running = append(running, runningRequest{now.Add(services[best]), best})
@@ -72,10 +72,11 @@
 	e := NewEstimator(DefaultCosts())
 	now := ident.Instant(time.Hour)
 	for range 200 {
-		e.RecordEnd(now, "a", false, 0, 0, "short", 10*time.Millisecond)
-		e.RecordEnd(now, "b", false, 0, 0, "long", 900*time.Millisecond)
+		e.RecordEnd(now, "a", Outcome{Route: "short", ServiceTime: 10 * time.Millisecond})
+		e.RecordEnd(now, "b", Outcome{Route: "long", ServiceTime: 900 * time.Millisecond})
 	}
-	costs := []float64{e.cost(now, Option{Host: "a", Slots: 4}), e.cost(now, Option{Host: "b", Slots: 4})}
+	costOf := func(o Option) float64 { return e.cost(&o, e.viewOf(now, &o, 0, 1)) }
+	costs := []float64{costOf(Option{Host: "a", Slots: 4}), costOf(Option{Host: "b", Slots: 4})}
 	assert.Assert(t, costs[1] < 1.1*costs[0], "%v", costs)
 }
 
--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -100,7 +100,7 @@
 		i = c.trialTarget(r, ps)
 	}
 	if i < 0 {
-		i = c.bestTarget(ps)
+		i = c.bestTarget(r, ps)
 	}
 	if i < 0 {
 		return edge.Target{}, false, errkind.New(errkind.PeerUnreachable, "no backend server of %q can be reached", r.Service)
@@ -123,18 +123,34 @@
 
 // bestTarget returns the index of the daemon whose server is expected to answer first, -1 if
 // none can be reached.
-func (c *chooser) bestTarget(ps []roster.Peer) int {
+func (c *chooser) bestTarget(r *hop.Request, ps []roster.Peer) int {
 	now := c.clock.Now()
+	demand := balance.Demand{Route: r.Route, Bytes: len(r.Body), Deadline: r.TimeLeft(now), Choosers: c.peers.daemonCount()}
+	if r.TargetTime > 0 {
+		if demand.Target = r.TargetTime.Sub(now); demand.Target == 0 {
+			demand.Target = -1 // has passed; zero means that there is none
+		}
+	}
+	coldRate := c.coldRate(r.Service)
 	options := make([]balance.Option, len(ps))
 	for i, p := range ps {
 		options[i] = balance.Option{
 			Host: p.Member.Host, Distance: c.distance(p.Location), Slots: p.Server.Slots, Limit: p.Server.Limit,
-			Cold: now < p.ColdUntil, Unreachable: p.UnreachableSince > 0,
+			Cold: now < p.ColdUntil, ColdRate: coldRate, Unreachable: p.UnreachableSince > 0,
 		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.estimator.Best(now, c.rng, options)
+	return c.estimator.Best(now, c.rng, demand, options)
+}
+
+// coldRate returns the requests per second that a cold server of a service tolerates, zero for
+// any number.
+func (c *chooser) coldRate(s ident.Service) float64 {
+	if t := c.routes(); t != nil {
+		return t.Services[s].ColdRate
+	}
+	return 0
 }
 
 func (c *chooser) distance(l ident.Location) balance.Distance {
@@ -165,7 +181,7 @@
 	}
 	c.mu.Lock()
 	c.book.Record(t.Peer.Member.Host, a.Advisory, a.Failure == nil)
-	c.estimator.RecordEnd(now, t.Peer.Member.Host, a.Failure != nil && a.Failure.Kind != errkind.Canceled, a.Load.Running, a.Load.Waiting, r.Route, a.ServiceTime)
+	c.estimator.RecordEnd(now, t.Peer.Member.Host, outcomeOfAnswer(r, a))
 	c.mu.Unlock()
 	if t.Local {
 		return
@@ -173,6 +189,20 @@
 	c.peers.recordReachability(t.Peer.Member, a.Failure == nil || a.Load.Slots > 0)
 }
 
+// outcomeOfAnswer returns what an answer says of the server.
+func outcomeOfAnswer(r *hop.Request, a *hop.Answer) balance.Outcome {
+	o := balance.Outcome{
+		Report: balance.Report{Running: a.Load.Running, Waiting: a.Load.Waiting, Slots: a.Load.Slots},
+		Route:  r.Route, ServiceTime: a.ServiceTime, Bytes: len(a.Body),
+	}
+	if a.Failure == nil || a.Failure.Kind == errkind.Canceled {
+		return o
+	}
+	o.Failed = true
+	o.Refused = a.Failure.Kind == errkind.Overloaded || a.Failure.Kind == errkind.DeadlineBeforeStart
+	return o
+}
+
 // DaemonCount implements edge.Chooser.
 func (c *chooser) DaemonCount() int { return c.peers.daemonCount() }
 
