edge: what has not run is told as such, and what cannot be answered is not sent

Requests that had reached no server were answered 502 or 504. A request that waited at another daemon kept the caller's deadline there: its time left counted from its arrival, so that the refusal came back after the caller's daemon had answered 504. And a failure of a kind that leaves the outcome open (canceled, unreadable for the peer, internal) became unknown although it stated not-run.

A request is now sent with a deadline and a target earlier by the least way there and back, lately observed, and 2 % of the time left. A stated not-run is kept, and becomes 503.

The model of retry decisions has one more rule: what was lost before it could run may be repeated like what was lost later.

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// FailurePointOfError returns the point at which an attempt that ended with e failed. An error
+// of a kind that leaves the outcome open may state that the request has not run, for example
+// when it was canceled before it was sent.
+func FailurePointOfError(e *errkind.Error) FailurePoint {
+	if p := FailurePointOf(e.Kind); p != InFlight || e.Truth != errkind.NotRun {
+		return p
+	}
+	return Refused
+}
+
 // Failure describes a failed attempt and what is left for another one.
 type Failure struct {
 	Kind            errkind.Kind
@@ -186,8 +196,8 @@
 
 // decideAfterNotRun decides after an attempt that did not run. It allows another
 // attempt while the owner of the key moves, while other backend servers of a pool
-// are untried, and after an explicit refusal by the backend server that owns the
-// key.
+// are untried, after an explicit refusal by the backend server that owns the
+// key, and of a repeatable request that was lost before it could run.
 func (p Policy) decideAfterNotRun(f Failure, fallback Decision) Decision {
 	switch retryClassOf(f.Kind) {
 	case ownerMoving:
@@ -196,6 +206,10 @@
 		if f.Pooled && f.UntriedTargets || !f.Pooled && f.Kind == errkind.BackendRefused {
 			return p.retryWithin(f, p.MaxAttempts, true, fallback)
 		}
+	case outcomeLost:
+		if f.Repeatable || f.Pooled && f.UntriedTargets {
+			return p.retryWithin(f, p.MaxAttempts, true, fallback)
+		}
 	}
 	return fallback
 }
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -74,6 +74,8 @@
 			return f.Kind == errkind.BackendRefused && withinMax, answered
 		}
 		return f.UntriedTargets && withinMax, answered
+	case notRun && isOneOf(errkind.OutcomeUnknown, errkind.PeerProtocol, errkind.AnswerCut, errkind.Internal):
+		return (f.Repeatable || f.Pooled && f.UntriedTargets) && withinMax, answered
 	case !notRun && isOneOf(errkind.OutcomeUnknown, errkind.PeerProtocol, errkind.AnswerCut, errkind.Internal):
 		return f.Repeatable && withinMax, answered
 	}
--- a/internal/edge/dispatch.go
+++ b/internal/edge/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -30,7 +31,11 @@
 	ChooseTarget(r *hop.Request, tried []ident.Host) (t Target, more bool, err *errkind.Error)
 	// RecordSent is called before an attempt, RecordAnswer after it.
 	RecordSent(t Target, r *hop.Request)
-	RecordAnswer(t Target, r *hop.Request, a *hop.Answer)
+	// took is the time from one to the other.
+	RecordAnswer(t Target, r *hop.Request, a *hop.Answer, took time.Duration)
+	// LeastTime returns the least times that an answer to a request needs, each zero if it
+	// is not known: the way to the target and back, and the service time.
+	LeastTime(t Target, r *hop.Request) (way, service time.Duration)
 	// DaemonCount returns the number of daemons that share the repeat budget.
 	DaemonCount() int
 	// IsSharded reports whether each key of a service has one owner.
@@ -141,8 +146,11 @@
 	}
 	endSpan(a)
 	outcome := "answered"
-	if a.Failure != nil {
-		outcome = a.Failure.Kind.String()
+	if e := a.Failure; e != nil {
+		outcome = e.Kind.String()
+		if retry.IsLoadRefusal(e.Kind) && e.Answer().Truth == errkind.NotRun {
+			e.RetryAfter = retry.ReturnDelay(e.RetryAfter, r.TimeLeft(d.clock.Now()), rand.Float64())
+		}
 	}
 	took := d.clock.Now().Sub(started)
 	d.metrics.CountRequest(r.Route, outcome, took)
@@ -196,6 +204,11 @@
 	if e != nil {
 		return hop.FailedAnswer(e)
 	}
+	way, service := d.chooser.LeastTime(target, r)
+	started := d.clock.Now()
+	if left := r.TimeLeft(started); left < way+service {
+		return hop.FailedAnswer(errkind.New(errkind.DeadlineBeforeStart, "%v are left, an answer takes at least %v", left, way+service))
+	}
 	p.tried = append(p.tried, target.Peer.Member.Host)
 	d.chooser.RecordSent(target, r)
 	endSpan := d.tracer.Start(r, "burdock.attempt", trace.SpanKindClient)
@@ -203,10 +216,10 @@
 	if target.Local {
 		a = d.local.Serve(ctx, r)
 	} else {
-		a = d.remote.Send(ctx, target.Peer, r)
+		a = d.remote.Send(ctx, target.Peer, bringForward(r, way, started))
 	}
 	endSpan(a)
-	d.chooser.RecordAnswer(target, r, a)
+	d.chooser.RecordAnswer(target, r, a, d.clock.Now().Sub(started))
 	if a.ReachedBackend {
 		p.reached++
 		if a.Failure != nil && a.Failure.Kind == errkind.BackendRefused {
@@ -216,6 +229,23 @@
 	return a
 }
 
+// answerMargin is the part of the time left that is kept for the work of the daemons on an
+// answer.
+const answerMargin = 0.02
+
+// bringForward returns a request as it is sent to another daemon, with times that include
+// the way back: a refusal at the deadline would come too late to say that the request has not
+// run.
+func bringForward(r *hop.Request, way time.Duration, now ident.Instant) *hop.Request {
+	earlier := way + time.Duration(answerMargin*float64(max(r.TimeLeft(now), 0)))
+	sent := *r
+	sent.Deadline = r.Deadline.Add(-earlier)
+	if r.TargetTime > 0 {
+		sent.TargetTime = r.TargetTime.Add(-way)
+	}
+	return &sent
+}
+
 // prepareRepeat decides after a failed attempt whether the request is sent once more.
 // If so, it waits out the delay and returns true. In any case it sets the truth of e
 // to what is known of the execution after all attempts together.
@@ -226,7 +256,7 @@
 	policy.MaxAttempts = max(route.MaxAttempts, 1)
 	policy.MaxAttemptsDuringMove = maxAttempts
 	f := retry.Failure{
-		Kind: e.Kind, Truth: e.Answer().Truth, Point: retry.FailurePointOf(e.Kind), PriorTruth: p.truth,
+		Kind: e.Kind, Truth: e.Answer().Truth, Point: retry.FailurePointOfError(e), PriorTruth: p.truth,
 		Repeatable: route.Idempotent, BodyReplayable: true, UntriedTargets: p.more && !sharded, Pooled: !sharded,
 		Attempts: p.reached - p.refused, CompletedRounds: p.rounds, TimeLeft: r.TimeLeft(now),
 	}
--- a/internal/edge/dispatch_test.go
+++ b/internal/edge/dispatch_test.go
@@ -22,10 +22,11 @@
 func (oneOwner) ChooseTarget(*hop.Request, []ident.Host) (Target, bool, *errkind.Error) {
 	return Target{Local: true}, false, nil
 }
-func (oneOwner) RecordSent(Target, *hop.Request)                {}
-func (oneOwner) RecordAnswer(Target, *hop.Request, *hop.Answer) {}
-func (oneOwner) DaemonCount() int                               { return 1 }
-func (oneOwner) IsSharded(ident.Service) bool                   { return true }
+func (oneOwner) RecordSent(Target, *hop.Request)                               {}
+func (oneOwner) RecordAnswer(Target, *hop.Request, *hop.Answer, time.Duration) {}
+func (oneOwner) LeastTime(Target, *hop.Request) (way, service time.Duration)   { return 0, 0 }
+func (oneOwner) DaemonCount() int                                              { return 1 }
+func (oneOwner) IsSharded(ident.Service) bool                                  { return true }
 
 type noMetrics struct{}
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -342,7 +342,7 @@
 	switch {
 	case impliesNotRun(a.Status) && a.Truth != errkind.NotRun:
 		return fasthttp.StatusBadGateway, a.Truth
-	case a.Truth == errkind.NotRun && a.Status >= fasthttp.StatusInternalServerError:
+	case a.Truth == errkind.NotRun && (a.Status >= fasthttp.StatusInternalServerError || a.Status == statusClientClosed):
 		return fasthttp.StatusServiceUnavailable, a.Truth
 	case a.Status == statusClientClosed:
 		return fasthttp.StatusBadGateway, a.Truth
--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/balance"
@@ -30,6 +31,7 @@
 
 	mu        sync.Mutex // guards the fields below
 	estimator *balance.Estimator
+	times     *balance.Times
 	rng       *rand.Rand
 	book      *advisory.Book // what answers to requests of this daemon said of the servers
 }
@@ -173,13 +175,17 @@
 }
 
 // RecordAnswer implements edge.Chooser.
-func (c *chooser) RecordAnswer(t edge.Target, r *hop.Request, a *hop.Answer) {
+func (c *chooser) RecordAnswer(t edge.Target, r *hop.Request, a *hop.Answer, took time.Duration) {
 	now := c.clock.Now()
 	c.suspects.learn(r.Fingerprint, a.Suspicion)
 	if a.Failure != nil && a.Failure.Kind == errkind.RegionNotAllowed {
 		c.barRegionOf(t, r)
 	}
+	location := c.locationOf(t)
 	c.mu.Lock()
+	if a.Failure == nil && a.ServiceTime > 0 {
+		c.times.Record(now, location, r.Route, took, a.ServiceTime)
+	}
 	c.book.Record(t.Peer.Member.Host, a.Advisory, a.Failure == nil)
 	c.estimator.RecordEnd(now, t.Peer.Member.Host, outcomeOfAnswer(r, a))
 	c.mu.Unlock()
@@ -189,6 +195,20 @@
 	c.peers.recordReachability(t.Peer.Member, a.Failure == nil || a.Load.Slots > 0)
 }
 
+// LeastTime implements edge.Chooser.
+func (c *chooser) LeastTime(t edge.Target, r *hop.Request) (way, service time.Duration) {
+	location := c.locationOf(t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.times.Least(c.clock.Now(), location, r.Route)
+}
+
+// locationOf returns where a target is.
+func (c *chooser) locationOf(t edge.Target) ident.Location {
+	p, _ := c.peers.lookUp(t.Peer.Member.Host)
+	return p.Location
+}
+
 // outcomeOfAnswer returns what an answer says of the server.
 func outcomeOfAnswer(r *hop.Request, a *hop.Answer) balance.Outcome {
 	o := balance.Outcome{
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -226,6 +226,7 @@
 		peers: d.peers, ownership: d.ownership, suspects: d.suspects, clock: d.clock, routes: d.configs.Routes,
 		estimator: balance.NewEstimator(balance.DefaultCosts()),
 		book:      advisory.NewBook(),
+		times:     balance.NewTimes(),
 		rng:       rand.New(rand.NewPCG(uint64(d.member.Incarnation), uint64(os.Getpid()))),
 	}
 	budget := edge.Budget{Window: d.cfg.Retries.Window, Ratio: d.cfg.Retries.Ratio, Allowance: d.cfg.Retries.Allowance}
--- a/internal/sidecar/regions.go
+++ b/internal/sidecar/regions.go
@@ -49,8 +49,8 @@
 // barRegionOf keeps a request from the region of a target that refused it for its region:
 // the configuration there is newer than here.
 func (c *chooser) barRegionOf(t edge.Target, r *hop.Request) {
-	if p, ok := c.peers.lookUp(t.Peer.Member.Host); ok {
-		r.BarredRegions = append(r.BarredRegions, p.Location.Region)
+	if l := c.locationOf(t); l.Region != "" {
+		r.BarredRegions = append(r.BarredRegions, l.Region)
 	}
 }
 
--- a/internal/sidecar/regions_test.go
+++ b/internal/sidecar/regions_test.go
@@ -33,7 +33,7 @@
 	table = routes.NewTable(routes.Config{Routes: []routes.Route{{Name: "r", Regions: allowed}}})
 	c = &chooser{
 		peers: p, ownership: newTestOwnership(clock, "a/0"), suspects: newTestSuspects("a/0", clock), clock: clock,
-		routes: func() *routes.Table { return table }, estimator: balance.NewEstimator(balance.DefaultCosts()), book: advisory.NewBook(), rng: rand.New(rand.NewPCG(1, 2)),
+		routes: func() *routes.Table { return table }, estimator: balance.NewEstimator(balance.DefaultCosts()), book: advisory.NewBook(), times: balance.NewTimes(), rng: rand.New(rand.NewPCG(1, 2)),
 	}
 	return c, table
 }
@@ -87,7 +87,7 @@
 	assert.Equal(t, e.Kind, errkind.RegionNotAllowed)
 	assert.Equal(t, e.Answer().Truth, errkind.NotRun)
 	c.RecordSent(target, r)
-	c.RecordAnswer(target, r, hop.FailedAnswer(e))
+	c.RecordAnswer(target, r, hop.FailedAnswer(e), time.Millisecond)
 	next, _, _ := c.ChooseTarget(r, nil)
 	assert.Assert(t, next.Peer.Member.Host[:1] != "a", "%v", next)
 	assert.Assert(t, table.AllowsRequest("r", nil, "a"))
