hop: a request whose body was cut on its way has not run

The deadline passed, or the connection ended, while a long body was on its way over a slow link: the caller was answered 504 or 502, outcome unknown, although the peer's daemon passes a request on only when it has all of its body.

The mesh now tells (CutBodyError) that the sending half ended before the last byte of a body of known length was taken for sending; the hop reports such a request as not run.

--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -62,6 +63,10 @@
 // streamFailure returns the answer for a request whose stream failed. It assumes that
 // the request reached a backend server unless the request was certainly not executed.
 func streamFailure(ctx context.Context, err error) *Answer {
+	var cut *mesh.CutBodyError
+	if errors.As(err, &cut) { // the peer's daemon reads all of a body before it passes the request on
+		err = &mesh.UnsentError{Err: err}
+	}
 	e := errkind.As(forward.ClassifyOpenError(ctx, err))
 	return &Answer{Failure: e, ReachedBackend: e.Answer().Truth != errkind.NotRun}
 }
--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -102,7 +102,8 @@
 
 // classifyOpenError wraps the error of a stream that failed before the head of
 // the answer arrived. It returns *UnsentError if no handler can have seen the
-// stream, and *ResetError if the handler reset it.
+// stream, *ResetError if the handler reset it, and *CutBodyError if no handler can
+// have seen all of the body.
 func (cs *clientStream) classifyOpenError(err error) error {
 	var reset *ResetError
 	switch {
@@ -112,6 +113,8 @@
 		return &UnsentError{Err: err}
 	case errors.As(err, &reset):
 		return err
+	case cs.endedBefore(cs.sender.length):
+		return &CutBodyError{Err: err}
 	default:
 		return fmt.Errorf("mesh: no answer: %w", err)
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -86,13 +86,25 @@
 // Unwrap returns the cause.
 func (e *UnsentError) Unwrap() error { return e.Err }
 
+// CutBodyError wraps a failure after which no handler of the peer can have read all of
+// the body, because this side stopped before the end of it. A handler that needs the
+// whole body has not begun its work.
+type CutBodyError struct{ Err error }
+
+// Error implements error.
+func (e *CutBodyError) Error() string { return "mesh: body not sent whole: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CutBodyError) Unwrap() error { return e.Err }
+
 // Transport sends requests and control messages to peers. It is safe for
 // concurrent use.
 type Transport interface {
 	// Open sends a request head and body and waits for the head of the answer.
 	// It fails with *UnsentError if no handler of the peer saw the stream, and
-	// with *ResetError if the handler reset it. After any other error the
-	// outcome of the request is unknown.
+	// with *ResetError if the handler reset it, and with *CutBodyError if no
+	// handler saw the whole body. After any other error the outcome of the request
+	// is unknown.
 	Open(ctx context.Context, to Peer, head []byte, body io.Reader) (ClientStream, error)
 	// Send queues a control message. The message is dropped if the ring of
 	// messages to the peer is full or the peer cannot be reached.
--- a/internal/mesh/sender.go
+++ b/internal/mesh/sender.go
@@ -32,6 +32,7 @@
 	}
 	n := min(want, s.sendCredit)
 	s.sendCredit -= n
+	s.takenBytes += n
 	s.queuedChunks++
 	return n, nil
 }
@@ -42,6 +43,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sendCredit += n
+	s.takenBytes -= n
+}
+
+// endedBefore reports whether the sending half ended before all of a body of a length was taken
+// for sending: the peer will never have the whole body.
+func (s *stream) endedBefore(length int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sendErr != nil && s.takenBytes < length
 }
 
 // chunkWritten records that the writer has written, or skipped, a chunk of this
@@ -57,6 +67,7 @@
 type bodySender struct {
 	s         *stream
 	body      io.Reader
+	length    int // of the body, zero if it is not known
 	sentBytes uint64
 	ended     bool // the end mark is in an item
 }
@@ -76,9 +87,11 @@
 		b.appendEndMark(it)
 		return it, nil
 	}
-	if _, ok := b.body.(lengthReader); !ok {
+	r, ok := b.body.(lengthReader)
+	if !ok {
 		return it, nil
 	}
+	b.length = r.Len()
 	if err := b.appendChunk(it); err != nil {
 		return nil, err
 	}
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -59,6 +59,7 @@
 	// Sending half.
 	sendCredit   int   // bytes that this side may still send
 	queuedChunks int   // chunks in the data ring
+	takenBytes   int   // credit taken for chunks of the body
 	sendErr      error // why the sending half ended; nil while it is open
 }
 
