--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -28,6 +28,7 @@
 	suspects  *suspects
 	clock     ident.Clock
 	routes    func() *routes.Table // the configuration in force, nil before the first
+	metrics   *metrics
 
 	mu        sync.Mutex // guards the fields below
 	estimator *balance.Estimator
@@ -182,6 +183,9 @@
 		c.barRegionOf(t, r)
 	}
 	location := c.locationOf(t)
+	if location.Region != c.peers.location.Region {
+		c.metrics.countRegionBytes(r.Route, location.Region, len(r.Body)+len(a.Body))
+	}
 	c.mu.Lock()
 	if a.Failure == nil && a.ServiceTime > 0 {
 		c.times.Record(now, location, r.Route, took, a.ServiceTime)
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -223,7 +223,7 @@
 	d.executor = &executor{server: d.server, ownership: d.ownership, gate: d.gate, client: d.origin, crashes: crashes, suspects: d.suspects, stop: d.bounds, clock: d.clock, metrics: d.metrics, log: d.log,
 		regions: &regionGuard{region: d.cfg.Host.Region, routes: d.configs.Routes}}
 	targetChooser := &chooser{
-		peers: d.peers, ownership: d.ownership, suspects: d.suspects, clock: d.clock, routes: d.configs.Routes,
+		peers: d.peers, ownership: d.ownership, suspects: d.suspects, clock: d.clock, routes: d.configs.Routes, metrics: d.metrics,
 		estimator: balance.NewEstimator(balance.DefaultCosts()),
 		book:      advisory.NewBook(),
 		times:     balance.NewTimes(),
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -32,6 +32,7 @@
 	calls       metric.Int64Counter
 	crashes     metric.Int64Counter
 	quarantined metric.Int64Counter
+	regionBytes metric.Int64Counter
 }
 
 // latencyBounds are the bucket bounds of the latency histograms in seconds. They range
@@ -66,6 +67,7 @@
 	out.writes = counter("burdock_ownership_writes", "changes of the ownership table by reason and outcome")
 	out.crashes = counter("burdock_server_crashes", "ends of the backend server here while it worked on requests")
 	out.quarantined = counter("burdock_quarantined", "requests that are refused from now on because servers ended under them, by source")
+	out.regionBytes = counter("burdock_region_bytes", "bytes of bodies between this region and another one, by route and region")
 	out.calls = counter("burdock_store_calls", "calls to the log service by kind and outcome")
 	_, err := m.Int64ObservableGauge("burdock_slots_in_use", metric.WithDescription("requests that run on the backend server, and that wait"),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
@@ -143,6 +145,12 @@
 	}
 }
 
+func (m *metrics) countRegionBytes(route string, region ident.Region, bytes int) {
+	if m != nil && bytes > 0 {
+		m.regionBytes.Add(context.Background(), int64(bytes), metric.WithAttributes(attribute.String("route", route), attribute.String("region", string(region))))
+	}
+}
+
 func (m *metrics) countPanic(duty string) {
 	if m != nil {
 		count(m.panics, attribute.String("duty", duty))
