balance: a wait for a slot is no part of the way

Deadlines are brought forward by the least way there and back. Where requests waited at every server, the least of the last answers held a wait, and would have shortened the time of all requests by it.

--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -188,7 +188,10 @@
 	}
 	c.mu.Lock()
 	if a.Failure == nil && a.ServiceTime > 0 {
-		c.times.Record(now, location, r.Route, took, a.ServiceTime)
+		c.times.RecordService(now, r.Route, a.ServiceTime)
+		if a.Load.Waiting == 0 && a.Load.Running < a.Load.Slots { // it hardly waited for a slot
+			c.times.RecordWay(now, location, took-a.ServiceTime)
+		}
 	}
 	c.book.Record(t.Peer.Member.Host, a.Advisory, a.Failure == nil)
 	c.estimator.RecordEnd(now, t.Peer.Member.Host, outcomeOfAnswer(r, a))
