balance: a choice takes memory once and sorts nothing

Each choice filled a new list with a view of every server and sorted it, and looked every server up four times, to compare two of them.

The list is kept between choices, each server is looked up and its report weighed once, and only the greatest keys are kept.

--- a/internal/core/balance/choice.go
+++ b/internal/core/balance/choice.go
@@ -76,22 +76,32 @@
 	return atHome-elsewhere >= bytes/1000*e.costs.CrossRegionPerKB.Seconds()
 }
 
+// candidate is an option of a choice, and what is observed of its server.
+type candidate struct {
+	choice
+	seen     *observation
+	capacity float64
+	fresh    float64 // weight of its report by age
+	key      float64 // the greatest keys are drawn
+}
+
 // bestOf returns the best option at some distances. At each distance it compares only a few
 // options, drawn by their room, since daemons with like pictures would otherwise all choose
 // the same server ("How Useful Is Old Information?", Mitzenmacher 2000). Ties are broken at
 // random.
 func (e *Estimator) bestOf(now ident.Instant, rng Random, d Demand, options []Option, distances ...Distance) choice {
-	mean := e.meanOthers(now, options, distances)
+	e.collect(now, options, distances)
+	mean := meanOthers(e.candidates)
 	best, ties := choice{index: -1, cost: math.Inf(1)}, 0
 	for _, distance := range distances {
-		for _, c := range e.draw(now, rng, d, options, distance, mean) {
+		for _, c := range e.draw(now, rng, d, distance, mean) {
 			switch {
 			case c.cost < best.cost:
-				best, ties = c, 1
+				best, ties = c.choice, 1
 			case c.cost == best.cost:
 				ties++
 				if rng.IntN(ties) == 0 {
-					best = c
+					best = c.choice
 				}
 			}
 		}
@@ -99,22 +109,34 @@
 	return best
 }
 
+// collect makes the options at some distances the candidates.
+func (e *Estimator) collect(now ident.Instant, options []Option, distances []Distance) {
+	e.candidates = e.candidates[:0]
+	for i := range options {
+		o := &options[i]
+		if !slices.Contains(distances, o.Distance) {
+			continue
+		}
+		s := e.observationOf(o.Host)
+		e.candidates = append(e.candidates, candidate{
+			choice: choice{index: i, option: o}, seen: s, capacity: e.capacity(o, s),
+			fresh: decay(now.Sub(s.reportedAt), e.costs.ReportHalfLife),
+		})
+	}
+}
+
 // unknownWeight is the weight of an idle server in the mean of reports. It lets the mean of
 // a pool that nobody reports on any more fall, so that the pool is tried again.
 const unknownWeight = 0.25
 
-// meanOthers returns the mean use of the options at some distances by other daemons, weighted
-// by the freshness of the reports.
-func (e *Estimator) meanOthers(now ident.Instant, options []Option, distances []Distance) float64 {
+// meanOthers returns the mean use of the candidates by other daemons, weighted by the freshness
+// of the reports.
+func meanOthers(candidates []candidate) float64 {
 	sum, weights := 0.0, unknownWeight
-	for i := range options {
-		if !slices.Contains(distances, options[i].Distance) {
-			continue
-		}
-		s := e.observationOf(options[i].Host)
-		fresh := decay(now.Sub(s.reportedAt), e.costs.ReportHalfLife)
-		sum += fresh * s.othersUsage / e.capacity(&options[i], s)
-		weights += fresh
+	for i := range candidates {
+		c := &candidates[i]
+		sum += c.fresh * c.seen.othersUsage / c.capacity
+		weights += c.fresh
 	}
 	return sum / weights
 }
@@ -126,46 +148,46 @@
 // have room by now.
 const minDrawWeight = 0.05
 
-// drawn is an option in a weighted draw without replacement.
-type drawn struct {
-	choice
-	key float64
-}
-
-// draw returns a few options at a distance, drawn by their room. The fewer daemons choose, the
-// more options it returns: the picture of a single one is exact.
-func (e *Estimator) draw(now ident.Instant, rng Random, d Demand, options []Option, distance Distance, mean float64) []choice {
-	var all []drawn
-	for i := range options {
-		o := &options[i]
-		if o.Distance != distance {
+// draw returns a few candidates at a distance, drawn by their room. The fewer daemons choose,
+// the more it returns: the picture of a single one is exact.
+func (e *Estimator) draw(now ident.Instant, rng Random, d Demand, distance Distance, mean float64) []*candidate {
+	count := 0
+	for i := range e.candidates {
+		if e.candidates[i].option.Distance == distance {
+			count++
+		}
+	}
+	compared := max(minCompared, (count+d.Choosers-1)/max(d.Choosers, 1))
+	e.drawn = e.drawn[:0]
+	for i := range e.candidates {
+		c := &e.candidates[i]
+		if c.option.Distance != distance {
 			continue
 		}
-		v := e.viewOf(now, o, mean, d.Choosers)
-		weight := e.capacity(o, e.observationOf(o.Host)) * max(1-v.use, minDrawWeight) / v.slowness
-		if v.blocked {
+		c.view = e.viewOf(now, c, mean, d.Choosers)
+		c.cost = e.cost(c.option, c.view)
+		weight := c.capacity * max(1-c.view.use, minDrawWeight) / c.view.slowness
+		if c.view.blocked {
 			weight = 0
 		}
-		all = append(all, drawn{choice{i, o, v, e.cost(o, v)}, drawKey(rng, weight)})
+		c.key = drawKey(rng, weight)
+		e.keepGreatest(c, compared)
 	}
-	compared := max(minCompared, (len(all)+d.Choosers-1)/max(d.Choosers, 1))
-	if compared < len(all) {
-		slices.SortFunc(all, func(a, b drawn) int {
-			switch {
-			case a.key > b.key:
-				return -1
-			case a.key < b.key:
-				return 1
-			}
-			return 0
-		})
-		all = all[:compared]
+	return e.drawn
+}
+
+// keepGreatest adds a candidate to the drawn ones, greatest key first, and keeps limit of them.
+func (e *Estimator) keepGreatest(c *candidate, limit int) {
+	if len(e.drawn) < limit {
+		e.drawn = append(e.drawn, c)
+	} else if last := e.drawn[limit-1]; c.key <= last.key {
+		return
 	}
-	out := make([]choice, len(all))
-	for i := range all {
-		out[i] = all[i].choice
+	i := len(e.drawn) - 1
+	for ; i > 0 && e.drawn[i-1].key < c.key; i-- {
+		e.drawn[i] = e.drawn[i-1]
 	}
-	return out
+	e.drawn[i] = c
 }
 
 // drawKey returns the key of an item in a draw: the items with the greatest keys are drawn with
--- a/internal/core/balance/estimate.go
+++ b/internal/core/balance/estimate.go
@@ -111,6 +111,9 @@
 	observations map[ident.Host]*observation
 	routes       map[string]*routeStats
 	slowdown     float64 // mean of slowdown over all reports
+
+	candidates []candidate  // of the choice in progress; kept for its memory
+	drawn      []*candidate // those of them that are compared
 }
 
 // NewEstimator returns an estimator without observations.
@@ -160,25 +163,26 @@
 	blocked  bool    // unreachable, and not to be tried again yet
 }
 
-// viewOf returns the view of an option, given the mean use by other daemons of the servers
+// viewOf returns the view of a candidate, given the mean use by other daemons of the servers
 // around it. Its own report counts less with its age: other daemons have acted on reports of
 // their own since, and if each daemon took a silent server for an idle one, they would all
 // choose the same.
-func (e *Estimator) viewOf(now ident.Instant, o *Option, meanOthers float64, choosers int) view {
-	s := e.observationOf(o.Host)
-	capacity := e.capacity(o, s)
+func (e *Estimator) viewOf(now ident.Instant, c *candidate, meanOthers float64, choosers int) view {
+	o, s, capacity, fresh := c.option, c.seen, c.capacity, c.fresh
 	inFlight := float64(s.inFlight)
 	limit := o.limit()
 	if limit > 0 {
 		inFlight++ // the capacity may be less than one, so that the request itself must count
 	}
-	fresh := decay(now.Sub(s.reportedAt), e.costs.ReportHalfLife)
 	v := view{
 		use:      inFlight/capacity + fresh*s.othersUsage/capacity + (1-fresh)*meanOthers,
 		slowness: 1,
-		failures: min(s.failureRate+s.refusalRate*decay(now.Sub(s.refusedAt), e.costs.RefusalHalfLife), 1),
+		failures: s.failureRate,
 		blocked:  o.Unreachable && now.Sub(s.lastSent) < e.costs.RetryInterval,
 	}
+	if s.refusalRate > 0 {
+		v.failures = min(v.failures+s.refusalRate*decay(now.Sub(s.refusedAt), e.costs.RefusalHalfLife), 1)
+	}
 	if s.slowness > slownessThreshold {
 		v.slowness = s.slowness
 	}
