sidecar: nothing is looked for where no route has allowed regions

The duty that sends messages gathered the regions of all hosts and servers at each of its ticks, also in deployments whose routes allow all regions.

--- a/internal/core/routes/regions.go
+++ b/internal/core/routes/regions.go
@@ -22,6 +22,11 @@
 	return true
 }
 
+// BindsRegions reports whether a route has allowed regions.
+func (t *Table) BindsRegions() bool {
+	return slices.ContainsFunc(t.Routes, func(r Route) bool { return len(r.Regions) > 0 })
+}
+
 // Gap is a service of a route that no allowed region has a backend server of.
 type Gap struct {
 	Route   string
--- a/internal/sidecar/regions.go
+++ b/internal/sidecar/regions.go
@@ -58,7 +58,7 @@
 // that one can serve again. It waits for the list of hosts, before which most are unknown.
 func (p *peers) logGaps() {
 	table := p.configs.Routes()
-	if table == nil {
+	if table == nil || len(p.gaps) == 0 && !table.BindsRegions() {
 		return
 	}
 	hosts, servers := make(map[ident.Region]bool), make(map[ident.Service]map[ident.Region]bool)
