balance: an expected answer counts usual differences of servers

Whether an answer keeps the target was expected without differences of service times below 1.5, which are left out so that servers are not ranked by them. A server of 0.6 of the mean speed was taken for one that answers as soon as the others.

The expected time now uses the learnt service time in full; the ranking does not.

--- a/internal/core/balance/estimate.go
+++ b/internal/core/balance/estimate.go
@@ -158,7 +158,8 @@
 // view is how loaded an option is expected to be.
 type view struct {
 	use      float64 // requests per request of its capacity
-	slowness float64 // service time relative to that of all servers
+	slowness float64 // service time relative to that of all servers; one for usual differences
+	expected float64 // the same with usual differences
 	failures float64 // fraction of requests that fail or are refused
 	blocked  bool    // unreachable, and not to be tried again yet
 }
@@ -177,6 +178,7 @@
 	v := view{
 		use:      inFlight/capacity + fresh*s.othersUsage/capacity + (1-fresh)*meanOthers,
 		slowness: 1,
+		expected: s.slowness,
 		failures: s.failureRate,
 		blocked:  o.Unreachable && now.Sub(s.lastSent) < e.costs.RetryInterval,
 	}
@@ -186,11 +188,12 @@
 	if s.slowness > slownessThreshold {
 		v.slowness = s.slowness
 	}
-	if s.pace > 0 {
-		v.slowness = max(v.slowness, 1+(s.pace-1)*fresh)
+	if s.pace > 1 {
+		pace := 1 + (s.pace-1)*fresh
+		v.slowness, v.expected = max(v.slowness, pace), max(v.expected, pace)
 	}
 	if o.Cold {
-		v.slowness *= 2
+		v.slowness, v.expected = 2*v.slowness, 2*v.expected
 	}
 	if o.Cold && o.ColdRate > 0 {
 		// Nobody coordinates the daemons: each sends its part of the rate, as if the others did
@@ -232,7 +235,7 @@
 	if r := e.routes[route]; r != nil && r.serviceTime > 0 {
 		service = r.serviceTime
 	}
-	service *= v.slowness
+	service *= v.expected
 	return t + service*(slowdownAt(v.use)/e.slowdown+max(0, v.use-1))
 }
 
