balance: servers that are somewhat slower are drawn less

The draw weighed servers by their room and by slowness above 1.5 only, so that servers of 0.6 and 1.5 of a speed were drawn alike. It is made among servers of one distance, so that it moves nothing to other domains, which is what the threshold of slowness is for.

--- a/internal/core/balance/choice.go
+++ b/internal/core/balance/choice.go
@@ -166,7 +166,8 @@
 		}
 		c.view = e.viewOf(now, c, mean, d.Choosers)
 		c.cost = e.cost(c.option, c.view)
-		weight := c.capacity * max(1-c.view.use, minDrawWeight) / c.view.slowness
+		// No server is drawn more for being fast: it may answer with errors.
+		weight := c.capacity * max(1-c.view.use, minDrawWeight) / max(c.view.expected, 1)
 		if c.view.blocked {
 			weight = 0
 		}
