admission: calls of running work go first and have room kept

Cause: a call of running work (22 ms, 250 ms of time) is marked late after its target and then waits behind all new work; the tick refuses it for the mean remaining time of all slots rather than that of the first that ends; and because it is short, new work counts as long beside it and is held off slots that calls do not need.

Change, with the setting calls.protect only: calls are learnt from who asks for a class and with how much time (calls.go); the order is calls, then new work by priority and age, then what is late, bounded so that no class falls below a quarter of another's ratio and no more urgent class behind a less urgent one (order.go); slots are kept for calls where new work is too long to wait for its end; the tick refuses by list scheduling.

--- a/internal/core/admission/core.go
+++ b/internal/core/admission/core.go
@@ -12,7 +12,8 @@
 // Config.ServiceTimeWeight, where the added lead is at most Config.MaxOvertake. So
 // a request that arrived more than MaxOvertake later never overtakes, with two
 // exceptions: short classes overtake on the slots that are reserved for them, and
-// any request overtakes one that is late (see late.go).
+// any request overtakes one that is late (see late.go). With Config.CallsFirst, the order is
+// that of order.go.
 package admission
 
 import (
@@ -36,6 +37,7 @@
 	MaxOvertake       time.Duration            // maximum that the mean service time adds to the rank
 	ShortClassFactor  float64                  // a class is short if its mean is at most this multiple of the typical service time
 	TenantWeights     map[ident.Tenant]float64 // relative shares of the slots; 1 for a tenant without an entry
+	CallsFirst        bool                     // calls of running work go first and have room kept; see calls.go and order.go
 }
 
 // DefaultConfig returns the default policy for a backend server with the given
@@ -58,7 +60,8 @@
 	Tenant   ident.Tenant
 	Deadline ident.Instant
 	Target   ident.Instant // an answer is preferred by this instant; zero means the deadline
-	Priority int           // order among late requests; 0 is the most urgent
+	Priority int           // order among late requests, with CallsFirst among all but calls; 0 is the most urgent
+	Caller   string        // service on the host where the request originated; empty if unknown
 }
 
 // Command is an action for the caller of this package: Start or Refuse.
@@ -98,6 +101,7 @@
 	meanService time.Duration // mean service time of its class
 	highService time.Duration // high quantile of the service time of its class
 	short       bool
+	call        bool // of running work; see calls.go
 	late        bool // the request can no longer meet its target
 	share       *tenantShare
 }
@@ -112,6 +116,7 @@
 	tenant  ident.Tenant
 	started ident.Instant
 	short   bool
+	call    bool
 	trial   bool
 }
 
@@ -131,6 +136,9 @@
 	limit               startLimit
 	arrivals            inflow          // of all requests, late and refused ones too
 	freeTimesBuf        []time.Duration // buffer that slotFreeTimes reuses
+	callers             callLearner
+	calls               callRoom
+	served              servedRatios
 }
 
 // New returns a core with the given policy and no requests.
@@ -207,7 +215,7 @@
 		a.Target = a.Deadline
 	}
 	expected := c.estimates.meanServiceTime(a.Class)
-	return waitingRequest{
+	w := waitingRequest{
 		Arrival:     a,
 		arrived:     now,
 		rank:        now.Add(c.lead(&a, expected)),
@@ -216,6 +224,8 @@
 		short:       c.estimates.isShort(a.Class),
 		share:       c.shareOf(a.Tenant),
 	}
+	c.applyOrder(&w, now)
+	return w
 }
 
 // Finish removes a running request that has ended and adds its service time to the
@@ -225,9 +235,14 @@
 	if !ok {
 		return nil
 	}
-	delete(c.running, id)
+	c.remove(id, r)
 	served := now.Sub(r.started)
-	c.estimates.recordServiceTime(r.class, served)
+	if r.call { // short against all new work, which is no reason to hold that back
+		c.estimates.getOrCreate(r.class).addSample(max(float64(served), 1))
+	} else {
+		c.estimates.recordServiceTime(r.class, served)
+		c.calls.recordNewWork(served)
+	}
 	if r.trial {
 		c.estimates.getOrCreate(r.class).forget(float64(served))
 	}
@@ -240,7 +255,7 @@
 // its class.
 func (c *Core) Cancel(id ID, now ident.Instant) []Command {
 	if r, ok := c.running[id]; ok {
-		delete(c.running, id)
+		c.remove(id, r)
 		c.chargeTenant(r.tenant, now.Sub(r.started))
 		return c.dispatch(now, nil)
 	}
@@ -257,33 +272,37 @@
 // meet their deadline, raises the estimates of classes whose requests run longer
 // than expected, and updates the number of reserved slots.
 func (c *Core) Tick(now ident.Instant) []Command {
-	short := 0
+	short, calls := 0, 0
 	for _, r := range c.running {
 		c.estimates.recordOverrun(r.class, now.Sub(r.started))
-		if r.short {
+		switch {
+		case r.call: // they have room of their own
+			calls++
+		case r.short:
 			short++
 		}
 	}
-	c.reserve.recordSample(short, len(c.running)-short)
+	c.reserve.recordSample(short, len(c.running)-short-calls)
+	if c.cfg.CallsFirst {
+		c.calls.decay(now)
+		return c.dispatch(now, c.refuseUnservable(now, nil))
+	}
 	return c.dispatch(now, c.refuseExpectedMisses(now, nil))
 }
 
 // canStart reports whether the limit allows a start and a slot is free for the request.
-// Only short classes may use the reserved slots.
+// Only short classes may use the reserved slots, and only calls those that are kept for them.
 func (c *Core) canStart(w *waitingRequest) bool {
-	if !c.limit.allows() {
-		return false
-	}
-	free := c.cfg.Slots - len(c.running)
-	if w.short {
-		return free > 0
-	}
-	return free > c.ReservedSlots()
+	return c.limit.allows() && c.cfg.Slots-len(c.running) > c.keptFrom(w)
 }
 
 // start adds a request to the running requests and returns its Start command.
 func (c *Core) start(w *waitingRequest, now ident.Instant) Command {
-	c.running[w.ID] = runningRequest{class: w.Class, tenant: w.Tenant, started: now, short: w.short}
+	c.running[w.ID] = runningRequest{class: w.Class, tenant: w.Tenant, started: now, short: w.short, call: w.call}
+	if w.call {
+		c.calls.running++
+	}
+	c.served.recordStart(w.Class)
 	c.shareOf(w.Tenant).running++
 	if e := c.estimates.byClass[w.Class]; e != nil {
 		e.startedAt = now
@@ -291,3 +310,11 @@
 	c.limit.spend()
 	return Start{ID: w.ID}
 }
+
+// remove removes a running request.
+func (c *Core) remove(id ID, r runningRequest) {
+	delete(c.running, id)
+	if r.call {
+		c.calls.running--
+	}
+}
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -95,6 +95,9 @@
 // over the queue stops once it has found a startable request of every tenant that
 // has waiting requests.
 func (c *Core) nextIndex() int {
+	if i := c.neglectedIndex(); i >= 0 {
+		return i
+	}
 	c.passNumber++
 	unseenTenants := c.countWaitingTenants()
 	best := -1
--- a/internal/core/admission/wait.go
+++ b/internal/core/admission/wait.go
@@ -37,10 +37,7 @@
 	slices.Sort(free)
 	fillLevels(free, ahead.short)
 	byLimit := c.limit.waitFor(c.queuePosition(w))
-	if w.short {
-		return max(free[0], byLimit)
-	}
-	return max(free[reserved], byLimit)
+	return max(free[c.keptFrom(w)], byLimit)
 }
 
 // workAhead returns the sum of the queued work that is ordered before w.
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -22,6 +22,7 @@
 	Drain     Drain            `yaml:"drain"`
 	Cold      Cold             `yaml:"cold"`
 	Resources Resources        `yaml:"resources"`
+	Calls     Calls            `yaml:"calls"`
 	Telemetry Telemetry        `yaml:"telemetry"`
 }
 
@@ -81,6 +82,13 @@
 	Slack  float64 `yaml:"slack"` // requests
 }
 
+// Calls are the requests that backend servers make while they run others.
+type Calls struct {
+	// Protect starts calls before new work, keeps room for them, and refuses new work whose
+	// calls have no room.
+	Protect bool `yaml:"protect"`
+}
+
 // Resources are what the host grants to the daemon's process. Zero means unknown.
 type Resources struct {
 	MemoryMB int     `yaml:"memory_mb"` // the process is killed above it
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -95,7 +95,9 @@
 		bounds: hop.NewStop(),
 	}
 	d.service.Store(&cfg.Service)
-	d.gate = admitting.NewGate(admission.DefaultConfig(initialSlots), d.clock)
+	policy := admission.DefaultConfig(initialSlots)
+	policy.CallsFirst = cfg.Calls.Protect
+	d.gate = admitting.NewGate(policy, d.clock)
 	if err := d.buildMetrics(); err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/executor.go
+++ b/internal/sidecar/executor.go
@@ -99,7 +99,7 @@
 // suspicion meanwhile, and has to be isolated.
 func (x *executor) admit(ctx context.Context, r *hop.Request, fingerprint func() quarantine.Fingerprint, isolated bool) (a *hop.Answer, ran bool) {
 	release, err := x.gate.Admit(ctx, admission.Arrival{
-		Class: admission.Class(r.Route), Deadline: r.Deadline, Target: r.TargetTime, Priority: r.Priority,
+		Class: admission.Class(r.Route), Deadline: r.Deadline, Target: r.TargetTime, Priority: r.Priority, Caller: r.Caller,
 	})
 	if err != nil {
 		return hop.FailedAnswer(admissionError(ctx, err)), true
