admission, sidecar: new requests are limited to what their calls have room for

Change, with calls.protect only: the daemon beside a server learns which requests sent from its host are calls of what the server runs (they expire with a running request), counts the runs that end whole and those that fail with a call, and lets twice as many begin as ended whole, a quarter of the arrivals at least. The rest is refused as calls-without-room, a new kind at the end of the list: not run, not tried on other servers, with a Retry-After by the backlog of the last second. table_test.go names the new last kind.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -52,6 +52,7 @@
 	Unconfigured
 	NoRoute
 	Quarantined
+	CallsWithoutRoom
 	kindCount // number of kinds, not a kind
 )
 
--- a/internal/errkind/table.go
+++ b/internal/errkind/table.go
@@ -54,6 +54,7 @@
 	Unconfigured:        {"unconfigured", 503, NotRun, retrySoon, "No configuration is known yet"},
 	NoRoute:             {"no-route", 404, NotRun, 0, "No route matches the request"},
 	Quarantined:         {"quarantined", 503, NotRun, retryLater, "Backend servers ended while they ran the request"},
+	CallsWithoutRoom:    {"calls-without-room", 503, NotRun, retrySoon, "The calls that the request makes have no room"},
 }
 
 // Answer returns the answer for kind k. A kind that is not in the list, for example
--- a/internal/errkind/table_test.go
+++ b/internal/errkind/table_test.go
@@ -11,7 +11,7 @@
 
 func TestTableIsCompleteAndConsistent(t *testing.T) {
 	names := map[string]bool{}
-	for k := errkind.Internal; k <= errkind.Quarantined; k++ {
+	for k := errkind.Internal; k <= errkind.CallsWithoutRoom; k++ {
 		a := k.Answer()
 		assert.Assert(t, a.Name != "" && a.Title != "" && !names[a.Name], "kind %d", k)
 		names[a.Name] = true
@@ -20,7 +20,7 @@
 		// Only a request that has certainly not been executed may invite a retry.
 		assert.Assert(t, a.RetryAfter == 0 || a.Truth == errkind.NotRun, a.Name)
 	}
-	assert.Equal(t, (errkind.Quarantined + 1).String(), "internal")
+	assert.Equal(t, (errkind.CallsWithoutRoom + 1).String(), "internal")
 	e := &errkind.Error{Kind: errkind.Overloaded, RetryAfter: time.Second + 1}
 	assert.Equal(t, e.Answer().RetryAfterSeconds(), 2)
 }
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -223,12 +223,16 @@
 	d.origin = origin.NewClient(d.adapter.HeaderNames, maxServerConnections, d.clock)
 	crashes := &crashWatch{server: d.server, accepts: d.origin.Accepts, clock: d.clock, metrics: d.metrics, log: d.log, onCrash: d.suspects.recordCrash, runs: quarantine.NewRuns()}
 	d.executor = &executor{server: d.server, ownership: d.ownership, gate: d.gate, client: d.origin, crashes: crashes, suspects: d.suspects, stop: d.bounds, clock: d.clock, metrics: d.metrics, log: d.log}
-	targetChooser := &chooser{
+	var targetChooser edge.Chooser = &chooser{
 		peers: d.peers, ownership: d.ownership, suspects: d.suspects, clock: d.clock,
 		estimator: balance.NewEstimator(balance.DefaultCosts()),
 		book:      advisory.NewBook(),
 		rng:       rand.New(rand.NewPCG(uint64(d.member.Incarnation), uint64(os.Getpid()))),
 	}
+	if d.cfg.Calls.Protect {
+		d.executor.chains = newChains(d.clock)
+		targetChooser = chainChooser{targetChooser, d.executor.chains}
+	}
 	budget := edge.Budget{Window: d.cfg.Retries.Window, Ratio: d.cfg.Retries.Ratio, Allowance: d.cfg.Retries.Allowance}
 	dispatcher := edge.NewDispatcher(d.member.Host, targetChooser, d.executor, hop.NewClient(d.mesh, d.clock), budget, d.metrics, d.clock, d.log)
 	if d.telemetry.Tracing() {
--- a/internal/sidecar/executor.go
+++ b/internal/sidecar/executor.go
@@ -34,6 +34,7 @@
 	client    *origin.Client
 	crashes   *crashWatch
 	suspects  *suspects
+	chains    *chains
 	stop      *hop.Stop
 	clock     ident.Clock
 
@@ -98,6 +99,9 @@
 // admit waits for a slot and runs the request. ran is false if the request has fallen under
 // suspicion meanwhile, and has to be isolated.
 func (x *executor) admit(ctx context.Context, r *hop.Request, fingerprint func() quarantine.Fingerprint, isolated bool) (a *hop.Answer, ran bool) {
+	if e := x.chains.admit(r); e != nil {
+		return hop.FailedAnswer(e), true
+	}
 	release, err := x.gate.Admit(ctx, admission.Arrival{
 		Class: admission.Class(r.Route), Deadline: r.Deadline, Target: r.TargetTime, Priority: r.Priority, Caller: r.Caller,
 	})
@@ -126,8 +130,9 @@
 		release(0)
 		return hop.FailedAnswer(errkind.New(errkind.BackendUnavailable, "the backend server has gone"))
 	}
-	id := x.crashes.beginRun(run)
+	id, endRun := x.crashes.beginRun(run), x.chains.beginRun(r)
 	a := x.client.Do(ctx, target, r)
+	endRun(a)
 	if x.crashes.endRun(id, target, a) == quarantine.Answered {
 		x.suspects.clear(run.Fingerprint)
 	}
