--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -95,7 +95,9 @@
 		bounds: hop.NewStop(),
 	}
 	d.service.Store(&cfg.Service)
-	d.gate = admitting.NewGate(admission.DefaultConfig(initialSlots), d.clock)
+	policy := admission.DefaultConfig(initialSlots)
+	policy.CallsFirst = cfg.Calls.Protect
+	d.gate = admitting.NewGate(policy, d.clock)
 	if err := d.buildMetrics(); err != nil {
 		return nil, err
 	}
@@ -222,12 +224,16 @@
 	crashes := &crashWatch{server: d.server, accepts: d.origin.Accepts, clock: d.clock, metrics: d.metrics, log: d.log, onCrash: d.suspects.recordCrash, runs: quarantine.NewRuns()}
 	d.executor = &executor{server: d.server, ownership: d.ownership, gate: d.gate, client: d.origin, crashes: crashes, suspects: d.suspects, stop: d.bounds, clock: d.clock, metrics: d.metrics, log: d.log,
 		regions: &regionGuard{region: d.cfg.Host.Region, routes: d.configs.Routes}}
-	targetChooser := &chooser{
+	var targetChooser edge.Chooser = &chooser{
 		peers: d.peers, ownership: d.ownership, suspects: d.suspects, clock: d.clock, routes: d.configs.Routes,
 		estimator: balance.NewEstimator(balance.DefaultCosts()),
 		book:      advisory.NewBook(),
 		rng:       rand.New(rand.NewPCG(uint64(d.member.Incarnation), uint64(os.Getpid()))),
 	}
+	if d.cfg.Calls.Protect {
+		d.executor.chains = newChains(d.clock)
+		targetChooser = chainChooser{targetChooser, d.executor.chains}
+	}
 	budget := edge.Budget{Window: d.cfg.Retries.Window, Ratio: d.cfg.Retries.Ratio, Allowance: d.cfg.Retries.Allowance}
 	dispatcher := edge.NewDispatcher(d.member.Host, targetChooser, d.executor, hop.NewClient(d.mesh, d.clock), budget, d.metrics, d.clock, d.log)
 	if d.telemetry.Tracing() {
