linkroom: a host with a slow link decides when long bodies may come

Uploads of many senders fill the link of a host of 10 Mbit/s, and calls, cancels and heartbeats wait behind them. The receiver knows its link: it grants credit piece by piece in the order of priority and due time, at most 40 ms of the link at a time, keeps its promises to the bodies admitted before, and refuses at the head what cannot come in time.

--- /dev/null
+++ b/internal/core/linkroom/room.go
@@ -0,0 +1,262 @@
+package linkroom
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+)
+
+const (
+	// otherWindow is the time over which the rate of other traffic is averaged.
+	otherWindow = time.Second
+	// plannedShare is the part of the bodies' rate that is promised, as other traffic comes
+	// and goes.
+	plannedShare = 0.95
+)
+
+// ID identifies an admitted body.
+type ID uint64
+
+// Body is a body that a sender announces.
+type Body struct {
+	Size     int           // bytes
+	Class    string        // bodies of a class need about the same work once they have arrived
+	Priority int           // 0 is the most urgent
+	Target   ident.Instant // the answer should be ready by then; zero means the deadline
+	Deadline ident.Instant // the answer must be ready by then
+	// Kept is set for the body of an answer: its request has run, so that it is taken also
+	// when it is late.
+	Kept bool
+}
+
+// Grant allows the sender of a body to send so many more bytes.
+type Grant struct {
+	ID    ID
+	Bytes int
+}
+
+// entry is an admitted body of which bytes are still missing.
+type entry struct {
+	Body
+	id       ID
+	work     time.Duration
+	due      ident.Instant // its place in the order: it has to have arrived by then
+	granted  int
+	arrived  int
+	usedAt   ident.Instant // last grant to an idle sender, or last arrival
+	missing  float64       // bytes not arrived; kept for the sums
+	lastByte ident.Instant // it has to have arrived by then to be of use
+}
+
+// before reports whether e passes before o.
+func (e *entry) before(o *entry) bool {
+	if e.Priority != o.Priority {
+		return e.Priority < o.Priority
+	}
+	return e.due < o.due
+}
+
+// Room is the state of the link of one host. It is not safe for concurrent use.
+type Room struct {
+	cfg   Config
+	queue []*entry // in the order in which they pass
+	byID  map[ID]*entry
+	last  ID
+
+	tokens   float64 // bytes that may be granted now
+	at       ident.Instant
+	other    float64 // bytes received since at that were not granted
+	otherAvg float64 // bytes per second of them
+
+	work workTimes
+}
+
+// New returns the room of a link with nothing on it.
+func New(c Config, now ident.Instant) *Room {
+	return &Room{cfg: c, byID: make(map[ID]*entry), tokens: c.inFlightBytes(), at: now, work: make(workTimes)}
+}
+
+// RecordOther records bytes that have arrived without a grant, such as heads and short bodies.
+func (r *Room) RecordOther(bytes int) { r.other += float64(max(bytes, 0)) }
+
+// RecordWork records how long the answer to a request took once its body had arrived.
+func (r *Room) RecordWork(class string, d time.Duration) { r.work.record(class, d) }
+
+// refill adds the credit for the time since the last call and takes off what other traffic
+// has used of it.
+func (r *Room) refill(now ident.Instant) {
+	dt := now.Sub(r.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	share := min(dt/otherWindow.Seconds(), 1)
+	r.otherAvg += (r.other/dt - r.otherAvg) * share
+	earned := max(r.cfg.Rate*r.cfg.Share*dt-r.other, r.cfg.Rate*r.cfg.MinShare*dt)
+	r.tokens = min(r.tokens+earned, r.cfg.inFlightBytes())
+	r.at, r.other = now, 0
+}
+
+// bodyRate returns the bytes per second that bodies get.
+func (r *Room) bodyRate() float64 {
+	return max(r.cfg.Rate*r.cfg.Share-r.otherAvg, r.cfg.Rate*r.cfg.MinShare)
+}
+
+// timeOf returns how long some bytes take.
+func (r *Room) timeOf(bytes float64) time.Duration {
+	return time.Duration(bytes / (r.bodyRate() * plannedShare) * float64(time.Second))
+}
+
+// Wait returns how long a body that comes now waits for those before it.
+func (r *Room) Wait(now ident.Instant) time.Duration {
+	r.refill(now)
+	var sum float64
+	for _, e := range r.queue {
+		sum += e.missing
+	}
+	return r.timeOf(sum)
+}
+
+// Admit takes a body into the order and returns its ID. It returns false and the time until
+// the link is free if the body cannot arrive and be worked on before its deadline, or only at
+// the cost of a body that is as urgent and was admitted before.
+func (r *Room) Admit(now ident.Instant, b Body) (id ID, retryAfter time.Duration, ok bool) {
+	r.refill(now)
+	work := r.work.of(b.Class)
+	e := &entry{Body: b, work: work, missing: float64(b.Size), usedAt: now, lastByte: b.Deadline.Add(-work)}
+	e.due = e.lastByte
+	if b.Target != 0 && b.Target < b.Deadline {
+		e.due = b.Target.Add(-work)
+	}
+	if !r.fits(now, e) {
+		e.due = e.lastByte
+		if !b.Kept && !r.fits(now, e) {
+			return 0, r.Wait(now), false
+		}
+	}
+	r.last++
+	e.id = r.last
+	r.byID[e.id] = e
+	r.queue = slices.Insert(r.queue, r.place(e), e)
+	return e.id, 0, true
+}
+
+// place returns the index at which e enters the order.
+func (r *Room) place(e *entry) int {
+	for i, o := range r.queue {
+		if e.before(o) {
+			return i
+		}
+	}
+	return len(r.queue)
+}
+
+// fits reports whether e arrives when it is due, and whether all bodies behind it that are as
+// urgent and would arrive when they are due still do. Less urgent ones give way.
+func (r *Room) fits(now ident.Instant, e *entry) bool {
+	at := r.place(e)
+	var ahead float64
+	for _, o := range r.queue[:at] {
+		ahead += o.missing
+	}
+	if now.Add(r.timeOf(ahead+e.missing)) > e.due {
+		return false
+	}
+	for _, o := range r.queue[at:] {
+		if o.Priority > e.Priority {
+			break
+		}
+		ahead += o.missing
+		without, with := now.Add(r.timeOf(ahead)), now.Add(r.timeOf(ahead+e.missing))
+		if without <= o.due && with > o.due {
+			return false
+		}
+	}
+	return true
+}
+
+// Arrived records that some bytes of a body have arrived. A body that is complete is forgotten.
+func (r *Room) Arrived(now ident.Instant, id ID, bytes int) {
+	e := r.byID[id]
+	if e == nil {
+		return
+	}
+	e.arrived += bytes
+	e.missing = float64(max(e.Size-e.arrived, 0))
+	e.usedAt = now
+	if e.arrived >= e.Size {
+		r.Remove(id)
+	}
+}
+
+// Remove forgets a body, which has arrived or is not going to.
+func (r *Room) Remove(id ID) {
+	e := r.byID[id]
+	if e == nil {
+		return
+	}
+	delete(r.byID, id)
+	r.queue = slices.DeleteFunc(r.queue, func(o *entry) bool { return o == e })
+}
+
+// Step returns the credit to grant now, the bodies that can no longer arrive in time, which
+// are forgotten unless all of them is on its way, and the time until the next call if no byte arrives before; zero means that
+// nothing waits.
+func (r *Room) Step(now ident.Instant) (grants []Grant, late []ID, next time.Duration) {
+	r.refill(now)
+	for _, e := range slices.Clone(r.queue) {
+		alone := time.Duration(e.missing / r.cfg.Rate * float64(time.Second))
+		if !e.Kept && e.granted < e.Size && now.Add(alone) > e.lastByte {
+			late = append(late, e.id)
+			r.Remove(e.id)
+		}
+	}
+	var onTheWay float64
+	for _, e := range r.queue {
+		if !r.isStale(now, e) {
+			onTheWay += float64(e.granted - e.arrived)
+		}
+	}
+	for _, e := range r.queue {
+		n := 0
+		for !r.isStale(now, e) {
+			piece := min(r.cfg.Piece, e.Size-e.granted-n)
+			if piece <= 0 || e.granted+n-e.arrived+piece > r.cfg.bodyBytes() {
+				break
+			}
+			if r.tokens < float64(piece) || onTheWay+float64(piece) > r.cfg.inFlightBytes() {
+				break
+			}
+			n += piece
+			r.tokens -= float64(piece)
+			onTheWay += float64(piece)
+		}
+		if n == 0 {
+			continue
+		}
+		if e.granted == e.arrived {
+			e.usedAt = now
+		}
+		e.granted += n
+		grants = append(grants, Grant{e.id, n})
+	}
+	return grants, late, r.untilNext()
+}
+
+// isStale reports whether the sender of a body has held credit for long without use.
+func (r *Room) isStale(now ident.Instant, e *entry) bool {
+	return e.granted > e.arrived && now.Sub(e.usedAt) > r.cfg.StaleAfter
+}
+
+// untilNext returns the time until there is credit for another piece, or until a sender may
+// be stale or a body late if that is what the others wait for.
+func (r *Room) untilNext() time.Duration {
+	if len(r.queue) == 0 {
+		return 0
+	}
+	lacking := float64(r.cfg.Piece) - r.tokens
+	if lacking <= 0 || !slices.ContainsFunc(r.queue, func(e *entry) bool { return e.granted < e.Size }) {
+		return r.cfg.StaleAfter / 4
+	}
+	return max(r.timeOf(lacking), time.Millisecond)
+}
