mesh: a host with a slow link grants each body, and spaces those it sends

A peer had credit of 1 MiB on each stream at once, so that the senders of uploads filled the link of a slow host among them. The hello of a host with a slow link now names the length up to which a body may come within a head; for longer ones the credit begins at zero and comes with PacedBody.Grant. What such a host sends of long bodies is spaced over all connections, so that its short messages pass. Without the two settings nothing changes.

--- a/internal/core/linkroom/config.go
+++ b/internal/core/linkroom/config.go
@@ -12,9 +12,9 @@
 	// slowTime is the time on the link from which a body is worth pacing: a shorter one
 	// delays what comes behind it by less than a round trip of credit costs.
 	slowTime = 5 * time.Millisecond
-	// minUnpaced bounds from below the length in bytes from which a body is paced, so that
+	// MinUnpaced bounds from below the length in bytes from which a body is paced, so that
 	// the head of a request does not cost more than its body.
-	minUnpaced = 4 << 10
+	MinUnpaced = 4 << 10
 	// largestUnpaced is the length in bytes up to which a body travels with its head on a
 	// link that needs no pacing.
 	largestUnpaced = 64 << 10
@@ -33,7 +33,7 @@
 	if mbps <= 0 || n >= largestUnpaced {
 		return 0
 	}
-	return max(n, minUnpaced)
+	return max(n, MinUnpaced)
 }
 
 // Config describes the link of a host.
@@ -54,7 +54,7 @@
 	rate := BytesPerSecond(mbps)
 	return Config{
 		Rate: rate, Share: 0.9, MinShare: 0.2, InFlight: 40 * time.Millisecond,
-		Piece: max(int(rate*slowTime.Seconds()), minUnpaced), StaleAfter: 200 * time.Millisecond,
+		Piece: max(int(rate*slowTime.Seconds()), MinUnpaced), StaleAfter: 200 * time.Millisecond,
 	}
 }
 
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -76,6 +76,13 @@
 	OnConnect func(ident.Member)
 
 	Window      int // bytes that a peer may send on a stream before it needs a grant
+	// UnpacedBytes is the length of a body up to which peers may send it within a head. If it
+	// is set, the link of this host is slow: a peer sends no byte of a body on a stream before
+	// its reader has granted it, see PacedBody. Such a body is a lengthReader at its sender.
+	UnpacedBytes int
+	// SendRate is the rate of a slow link in bytes per second. Bodies that this daemon sends
+	// leave room on it for short messages. Zero means that they need not.
+	SendRate float64
 	Chunk       int // bytes of a body in one frame
 	MaxHead     int // bytes of a request or answer head, or of a control message
 	MaxStreams  int // open streams on one connection
@@ -102,7 +109,7 @@
 		problems = append(problems, errors.New("mesh: both TLS and Plain are set"))
 	}
 	times := min(c.DialTimeout, c.PingInterval, c.PingTimeout, c.IdlePingInterval, c.IdleTime, c.RetryMin, c.RetryMax, c.FlushTime)
-	sizes := min(c.Window, c.Chunk, c.MaxHead, c.MaxStreams, c.ControlRing, c.DataRing)
+	sizes := min(c.Window, c.UnpacedBytes, int(c.SendRate), c.Chunk, c.MaxHead, c.MaxStreams, c.ControlRing, c.DataRing)
 	if times < 0 || sizes < 0 {
 		problems = append(problems, errors.New("mesh: limits must not be negative"))
 	}
--- a/internal/mesh/conn.go
+++ b/internal/mesh/conn.go
@@ -24,15 +24,16 @@
 // daemon that dialed it opens the streams and the other daemon serves them. One
 // goroutine reads from the connection and another writes to it.
 type conn struct {
-	m          *Mesh
-	cfg        *Config
-	ws         *websocket.Conn
-	link       *link // nil on the serving side
-	dialed     bool  // this side dialed and opens the streams
-	startedAt  int64 // see Mesh.now
-	peer       ident.Member
-	version    uint16
-	peerWindow int // initial credit of a stream, from the peer's hello
+	m           *Mesh
+	cfg         *Config
+	ws          *websocket.Conn
+	link        *link // nil on the serving side
+	dialed      bool  // this side dialed and opens the streams
+	startedAt   int64 // see Mesh.now
+	peer        ident.Member
+	version     uint16
+	peerWindow  int // initial credit of a stream, from the peer's hello
+	peerUnpaced int // Config.UnpacedBytes of the peer
 
 	// Queues of the writer. Within a batch it prefers urgent to control and
 	// control to data.
@@ -61,19 +62,23 @@
 // Mesh.startConn.
 func newConn(m *Mesh, ws *websocket.Conn, remote hello, dialed bool) *conn {
 	c := &conn{
-		m:          m,
-		cfg:        &m.cfg,
-		ws:         ws,
-		dialed:     dialed,
-		peer:       remote.Member,
-		version:    min(remote.Version, m.cfg.Version),
-		peerWindow: int(min(remote.Window, maxCredit)),
-		urgent:     duty.NewRing[*item](defaultUrgentRing, duty.RefuseNew),
-		control:    duty.NewRing[*item](m.cfg.ControlRing, duty.RefuseNew),
-		data:       duty.NewRing[*item](m.cfg.DataRing, duty.Block),
-		closing:    make(chan struct{}),
-		readDone:   make(chan struct{}),
-		streams:    make(map[uint32]*stream),
+		m:           m,
+		cfg:         &m.cfg,
+		ws:          ws,
+		dialed:      dialed,
+		peer:        remote.Member,
+		version:     min(remote.Version, m.cfg.Version),
+		peerWindow:  int(min(remote.Window, maxCredit)),
+		peerUnpaced: int(min(remote.Unpaced, maxCredit)),
+		urgent:      duty.NewRing[*item](defaultUrgentRing, duty.RefuseNew),
+		control:     duty.NewRing[*item](m.cfg.ControlRing, duty.RefuseNew),
+		data:        duty.NewRing[*item](m.cfg.DataRing, duty.Block),
+		closing:     make(chan struct{}),
+		readDone:    make(chan struct{}),
+		streams:     make(map[uint32]*stream),
+	}
+	if c.peerUnpaced > 0 {
+		c.peerWindow = 0
 	}
 	c.ctx, c.cancel = context.WithCancelCause(m.group.Context())
 	now := m.now()
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -153,6 +153,7 @@
 	Cluster string       `codec:"c"`
 	Member  ident.Member `codec:"m"`
 	Window  uint32       `codec:"w"` // initial credit in bytes for each stream to the sender of the hello
+	Unpaced uint32       `codec:"u"` // Config.UnpacedBytes; if set, the initial credit is zero
 }
 
 // frame returns h encoded as a frame.
--- a/internal/mesh/sender.go
+++ b/internal/mesh/sender.go
@@ -18,6 +18,13 @@
 	s.cond.Broadcast()
 }
 
+// hasCredit reports whether takeCredit would not wait for credit.
+func (s *stream) hasCredit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sendCredit > 0
+}
+
 // takeCredit waits until the stream has credit and fewer than maxQueuedChunks
 // chunks in the data ring. It then takes at most want bytes of credit, counts
 // one chunk as queued, and returns the bytes taken.
@@ -63,7 +70,7 @@
 
 // lengthReader is implemented by readers over memory that know how many bytes
 // are left, such as bytes.Reader. The first chunk of such a body is sent with
-// the head, and its last chunk with the end mark. Any other reader may block,
+// the head unless it is paced, and its last chunk with the end mark. Any other reader may block,
 // so the head is sent before it is read.
 type lengthReader interface{ Len() int }
 
@@ -76,8 +83,15 @@
 		b.appendEndMark(it)
 		return it, nil
 	}
-	if _, ok := b.body.(lengthReader); !ok {
+	r, ok := b.body.(lengthReader)
+	switch {
+	case !ok:
+		return it, nil
+	case r.Len() == 0:
+		b.appendEndMark(it)
 		return it, nil
+	case b.s.c.m.sendPace != nil || !b.s.hasCredit():
+		return it, nil // the rest of the body follows when the links have room
 	}
 	if err := b.appendChunk(it); err != nil {
 		return nil, err
@@ -92,6 +106,7 @@
 		if err := b.appendChunk(it); err != nil {
 			return err
 		}
+		b.s.c.m.sendPace.await(b.s, len(it.buf))
 		if err := b.s.queueItem(it); err != nil {
 			return err
 		}
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -67,7 +67,9 @@
 func (s *stream) init(c *conn, id uint32) {
 	s.c = c
 	s.id = id
-	s.receiveWindow = c.cfg.Window
+	if c.cfg.UnpacedBytes == 0 {
+		s.receiveWindow = c.cfg.Window
+	}
 	s.sendCredit = c.peerWindow
 	s.chunks = s.chunkArray[:0]
 	s.cond.L = &s.mu
@@ -204,8 +206,8 @@
 	return s.head, nil
 }
 
-// Read implements io.Reader for the body and grants the peer new credit. It
-// returns io.EOF only after the end mark has arrived.
+// Read implements io.Reader for the body and grants the peer new credit, unless the body is
+// paced. It returns io.EOF only after the end mark has arrived.
 func (s *stream) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
@@ -218,7 +220,8 @@
 }
 
 // read waits for data and copies it to p. It returns the credit that the caller
-// must grant to the peer, which is zero until half of the window has been read.
+// must grant to the peer, which is zero until half of the window has been read, and always if
+// the body is paced.
 func (s *stream) read(p []byte) (n, grant int, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -235,7 +238,7 @@
 		n += s.readChunk(p[n:])
 	}
 	s.ungrantedBytes += n
-	if s.bodyEnded || s.ungrantedBytes < s.c.cfg.Window/2 {
+	if s.bodyEnded || s.c.cfg.UnpacedBytes > 0 || s.ungrantedBytes < s.c.cfg.Window/2 {
 		return n, 0, nil
 	}
 	grant = s.ungrantedBytes
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -31,6 +31,7 @@
 	controlHandler ControlHandler
 	streamHandler  StreamHandler
 	counts         counters
+	sendPace       *sendPace // nil on a fast link
 
 	mu     sync.Mutex       // guards the fields below
 	links  map[string]*link // by address
@@ -67,6 +68,7 @@
 		group:          duty.NewGroup(context.Background()),
 		controlHandler: noHandler{},
 		streamHandler:  noHandler{},
+		sendPace:       newSendPace(cfg.SendRate),
 		links:          make(map[string]*link),
 		conns:          make(map[*conn]struct{}),
 	}
@@ -248,6 +250,7 @@
 		Cluster: m.cfg.Cluster,
 		Member:  m.cfg.Self.Member,
 		Window:  uint32(m.cfg.Window),
+		Unpaced: uint32(min(m.cfg.UnpacedBytes, maxCredit)),
 	}
 }
 
