hop, sidecar: long bodies wait for room on a slow link, or are refused at their head

Where resources.link_mbps is set and a body of 64 KiB would take more than 5 ms, the daemon beside the server admits each body longer than these 5 ms by the request's priority, target and deadline and grants it piece by piece; a body that cannot come and be worked on in time is answered with overloaded, not run, and the time until the link is free, before any of it is sent. Answers to a slow host are paced the same way, and taken whenever they come. Answers carry LinkWait, the time that a body waits for the link; a refusal carries the server's load, so that it does not count as unreachable.

--- a/internal/core/linkroom/room.go
+++ b/internal/core/linkroom/room.go
@@ -122,7 +122,7 @@
 // the cost of a body that is as urgent and was admitted before.
 func (r *Room) Admit(now ident.Instant, b Body) (id ID, retryAfter time.Duration, ok bool) {
 	r.refill(now)
-	work := r.work.of(b.Class)
+	work := min(r.work.of(b.Class), b.Deadline.Sub(now)/2) // a class whose work grew must not be refused for good
 	e := &entry{Body: b, work: work, missing: float64(b.Size), usedAt: now, lastByte: b.Deadline.Add(-work)}
 	e.due = e.lastByte
 	if b.Target != 0 && b.Target < b.Deadline {
--- a/internal/hop/advisory_test.go
+++ b/internal/hop/advisory_test.go
@@ -18,7 +18,7 @@
 func TestAdvisorySurvivesTheWire(t *testing.T) {
 	sender, receiver := ident.Instant(time.Hour), ident.Instant(3*time.Hour)
 	a := advisory.Advisory{Instance: roster.Instance{ID: "i", StartedMS: 7}, Limit: 12.5, Leaving: true, LeavingSince: sender.Add(-2 * time.Second)}
-	head, _, err := encodeRequest(&Request{Advisory: &a}, sender)
+	head, _, err := encodeRequest(&Request{Advisory: &a}, sender, inlineBytes)
 	assert.NilError(t, err)
 	r, _, err := decodeRequest(head, receiver)
 	assert.NilError(t, err)
@@ -26,7 +26,7 @@
 	assert.DeepEqual(t, *r.Advisory, a)
 
 	a = advisory.Advisory{Limit: math.Inf(1)}
-	head, _, err = encodeAnswer(&Answer{Advisory: &a}, sender)
+	head, _, err = encodeAnswer(&Answer{Advisory: &a}, sender, inlineBytes)
 	assert.NilError(t, err)
 	got, _, err := decodeAnswer(head, receiver)
 	assert.NilError(t, err)
@@ -55,7 +55,7 @@
 	assert.Equal(t, a.Status, 200)
 	assert.Assert(t, a.Advisory == nil)
 
-	head, _, err = encodeAnswer(&Answer{Status: 200, ServiceTime: 5 * time.Millisecond, Advisory: &advisory.Advisory{Limit: 2}}, 1)
+	head, _, err = encodeAnswer(&Answer{Status: 200, ServiceTime: 5 * time.Millisecond, Advisory: &advisory.Advisory{Limit: 2}}, 1, inlineBytes)
 	assert.NilError(t, err)
 	var old oldAnswer
 	assert.NilError(t, codec.Unmarshal(head, &old))
--- a/internal/hop/cut_test.go
+++ b/internal/hop/cut_test.go
@@ -51,11 +51,15 @@
 	return &Answer{Status: 200, Header: []Field{{"Content-Type", "text/plain"}}, Body: f.body, ReachedBackend: true}
 }
 
-func startMesh(t *testing.T, host ident.Host, hook mesh.LinkHook) (*mesh.Mesh, mesh.Peer) {
+func startMesh(t testing.TB, host ident.Host, hook mesh.LinkHook, change ...func(*mesh.Config)) (*mesh.Mesh, mesh.Peer) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	self := mesh.Peer{Member: ident.Member{Host: host, Incarnation: 1}, Addr: ln.Addr().String()}
-	m, err := mesh.New(mesh.Config{Self: self, Cluster: "t", Plain: true, LinkHook: hook, RetryMin: time.Millisecond, RetryMax: time.Millisecond, Logger: zap.NewNop()})
+	cfg := mesh.Config{Self: self, Cluster: "t", Plain: true, LinkHook: hook, RetryMin: time.Millisecond, RetryMax: time.Millisecond, Logger: zap.NewNop()}
+	for _, f := range change {
+		f(&cfg)
+	}
+	m, err := mesh.New(cfg)
 	assert.NilError(t, err)
 	g := duty.NewGroup(context.Background())
 	g.Go("serve", func(context.Context) error { return m.Serve(ln) })
--- a/internal/hop/fuzz_test.go
+++ b/internal/hop/fuzz_test.go
@@ -12,11 +12,11 @@
 // The head of a request or answer from a peer is decoded or refused, whatever it holds.
 func FuzzHeads(f *testing.F) {
 	now := ident.Instant(time.Hour)
-	request, _, err := encodeRequest(&Request{ID: "a", Method: "GET", URI: "/", Header: []Field{{"N", "v"}}, Key: 7, Deadline: now.Add(time.Second)}, now)
+	request, _, err := encodeRequest(&Request{ID: "a", Method: "GET", URI: "/", Header: []Field{{"N", "v"}}, Key: 7, Deadline: now.Add(time.Second)}, now, inlineBytes)
 	if err != nil {
 		f.Fatal(err)
 	}
-	answer, _, err := encodeAnswer(&Answer{Status: 200, Body: []byte("b"), Failure: errkind.New(errkind.NotOwner, "x"), Advisory: &advisory.Advisory{Limit: 2, Leaving: true}}, now)
+	answer, _, err := encodeAnswer(&Answer{Status: 200, Body: []byte("b"), Failure: errkind.New(errkind.NotOwner, "x"), Advisory: &advisory.Advisory{Limit: 2, Leaving: true}}, now, inlineBytes)
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -27,12 +27,12 @@
 		}
 		now := ident.Instant(1)
 		r.Deadline = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "left")) * time.Millisecond)
-		head, rest, err := encodeRequest(r, now)
+		head, rest, err := encodeRequest(r, now, inlineBytes)
 		assert.NilError(t, err)
 		assert.Equal(t, len(rest), 0)
 		if rapid.Bool().Draw(t, "target") {
 			r.TargetTime = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "target_left")) * time.Millisecond)
-			head, _, err = encodeRequest(r, now)
+			head, _, err = encodeRequest(r, now, inlineBytes)
 			assert.NilError(t, err)
 		}
 		got, size, err := decodeRequest(head, now)
@@ -43,14 +43,14 @@
 }
 
 func TestAnswerSurvivesTheWire(t *testing.T) {
-	a := &Answer{Status: 200, Header: []Field{{"A", "b"}}, Body: []byte("x"), ReachedBackend: true, Load: Load{1, 2, 3}, ServiceTime: 5 * time.Millisecond, Suspicion: 2}
-	head, _, err := encodeAnswer(a, 1)
+	a := &Answer{Status: 200, Header: []Field{{"A", "b"}}, Body: []byte("x"), ReachedBackend: true, Load: Load{1, 2, 3, 4 * time.Millisecond}, ServiceTime: 5 * time.Millisecond, Suspicion: 2}
+	head, _, err := encodeAnswer(a, 1, inlineBytes)
 	assert.NilError(t, err)
 	got, _, err := decodeAnswer(head, 1)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, a)
 
-	head, _, err = encodeAnswer(FailedAnswer(errkind.New(errkind.NotOwner, "key %d", 3)), 1)
+	head, _, err = encodeAnswer(FailedAnswer(errkind.New(errkind.NotOwner, "key %d", 3)), 1, inlineBytes)
 	assert.NilError(t, err)
 	got, _, err = decodeAnswer(head, 1)
 	assert.NilError(t, err)
@@ -60,7 +60,7 @@
 
 func TestLongBodyFollowsTheHead(t *testing.T) {
 	r := &Request{Body: make([]byte, inlineBytes+1), Key: NoKey}
-	head, rest, err := encodeRequest(r, 1)
+	head, rest, err := encodeRequest(r, 1, inlineBytes)
 	assert.NilError(t, err)
 	assert.Equal(t, len(rest), inlineBytes+1)
 	_, size, err := decodeRequest(head, 1)
@@ -85,7 +85,7 @@
 // A daemon that stops must not end before its answers have reached the daemons that asked.
 func TestRequestIsOpenUntilItsAnswerIsSent(t *testing.T) {
 	clock := ident.NewMonotonicClock()
-	head, _, err := encodeRequest(&Request{ID: "a", Method: "GET", URI: "/", Key: NoKey, Deadline: clock.Now().Add(time.Minute)}, clock.Now())
+	head, _, err := encodeRequest(&Request{ID: "a", Method: "GET", URI: "/", Key: NoKey, Deadline: clock.Now().Add(time.Minute)}, clock.Now(), inlineBytes)
 	assert.NilError(t, err)
 	s := NewServer(answerAtOnce{}, &BodyBudget{}, clock, zap.NewNop())
 	stream := &slowStream{head: head, released: make(chan struct{})}
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -71,6 +71,7 @@
 // Load is the slot usage of a backend server.
 type Load struct {
 	Running, Waiting, Slots int
+	LinkWait                time.Duration // that a long body waits for the link of its host
 }
 
 // Answer is the answer of a backend server or the failure that takes its place.
--- a/internal/hop/trace_test.go
+++ b/internal/hop/trace_test.go
@@ -25,7 +25,7 @@
 	for _, a := range []*Answer{FailedAnswer(errkind.New(errkind.NotOwner, "moving")), {Status: 200}} {
 		endAttempt := tracer.Start(r, "attempt", trace.SpanKindClient)
 		attempts = append(attempts, r.Trace)
-		head, _, err := encodeRequest(r, 1)
+		head, _, err := encodeRequest(r, 1, inlineBytes)
 		assert.NilError(t, err)
 		received, _, err := decodeRequest(head, 1)
 		assert.NilError(t, err)
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/linkroom"
 	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 	"github.com/burdockfold/burdockfold/internal/forward"
@@ -24,16 +26,36 @@
 type Client struct {
 	transport mesh.Transport
 	clock     ident.Clock
+	link      *LinkRoom // for the bodies of answers
 }
 
 // NewClient returns a client that opens its streams on transport t.
 func NewClient(t mesh.Transport, c ident.Clock) *Client { return &Client{transport: t, clock: c} }
 
+// SetLinkRoom sets the room for the bodies of answers on the link of this host. It must be
+// called before Send.
+func (c *Client) SetLinkRoom(l *LinkRoom) { c.link = l }
+
+// unpacedTo is implemented by a transport that knows the links of peers.
+type unpacedTo interface {
+	UnpacedBytes(to mesh.Peer) (bytes int, ok bool)
+}
+
+// inlineTo returns the length up to which a body is sent to a peer within the head.
+func (c *Client) inlineTo(to mesh.Peer, body []byte) int {
+	if t, ok := c.transport.(unpacedTo); ok && len(body) > linkroom.MinUnpaced {
+		if n, limited := t.UnpacedBytes(to); limited {
+			return min(n, inlineBytes)
+		}
+	}
+	return inlineBytes
+}
+
 // Send sends a request to another daemon and returns that daemon's answer. If sending
 // fails, the answer holds a failure whose Truth says whether the request may have been
 // executed.
 func (c *Client) Send(ctx context.Context, to mesh.Peer, r *Request) *Answer {
-	head, rest, err := encodeRequest(r, c.clock.Now())
+	head, rest, err := encodeRequest(r, c.clock.Now(), c.inlineTo(to, r.Body))
 	if err != nil {
 		return FailedAnswer(&errkind.Error{Kind: errkind.Internal, Truth: errkind.NotRun, Detail: err.Error(), Err: err})
 	}
@@ -51,7 +73,7 @@
 		return FailedAnswer(errkind.New(errkind.PeerProtocol, "%w", err))
 	}
 	if size > 0 {
-		a.Body, err = readBody(stream.Body(), size)
+		a.Body, err = c.readAnswerBody(stream.Body(), size, r)
 	}
 	if err != nil {
 		return FailedAnswer(errkind.New(errkind.AnswerCut, "%w", err))
@@ -59,6 +81,26 @@
 	return a
 }
 
+// readAnswerBody reads the body of the answer to r.
+func (c *Client) readAnswerBody(body io.Reader, size int, r *Request) ([]byte, error) {
+	if err := checkBodySize(size); err != nil {
+		return nil, err
+	}
+	b := bodyOf(r, size)
+	b.Kept = true
+	paced, e := c.link.open(body, b)
+	if e != nil {
+		return nil, e
+	}
+	defer func() { _ = paced.Close() }()
+	return readBody(paced, size)
+}
+
+// bodyOf describes a body of a request or of the answer to it.
+func bodyOf(r *Request, size int) linkroom.Body {
+	return linkroom.Body{Size: size, Class: r.Route, Priority: r.Priority, Target: r.TargetTime, Deadline: r.Deadline}
+}
+
 // streamFailure returns the answer for a request whose stream failed. It assumes that
 // the request reached a backend server unless the request was certainly not executed.
 func streamFailure(ctx context.Context, err error) *Answer {
@@ -108,6 +150,8 @@
 	clock  ident.Clock
 	log    *zap.Logger
 	open   atomic.Int64 // see OpenRequests
+	link   *LinkRoom    // for the bodies of requests
+	load   func() Load  // for answers of requests that do not reach next; may be nil
 }
 
 // NewServer returns a server that passes requests to next. budget bounds their bodies.
@@ -115,6 +159,24 @@
 	return &Server{next: next, budget: budget, clock: c, log: log}
 }
 
+// SetLinkRoom sets the room for the bodies of requests on the link of this host, and what
+// tells the load of the backend server to those who are refused. It must be called before
+// the first request.
+func (s *Server) SetLinkRoom(l *LinkRoom, load func() Load) { s.link, s.load = l, load }
+
+// unpaced is implemented by a stream that knows the links of both ends.
+type unpaced interface{ UnpacedBytes() (bytes int, ok bool) }
+
+// inlineOn returns the length up to which a body is sent on a stream within the head.
+func inlineOn(stream mesh.ServerStream, body []byte) int {
+	if t, ok := stream.(unpaced); ok && len(body) > linkroom.MinUnpaced {
+		if n, limited := t.UnpacedBytes(); limited {
+			return min(n, inlineBytes)
+		}
+	}
+	return inlineBytes
+}
+
 // OpenRequests returns the number of requests of other daemons that are being served, or
 // whose answer is being sent.
 func (s *Server) OpenRequests() int64 { return s.open.Load() }
@@ -125,7 +187,8 @@
 	s.open.Add(1)
 	defer s.open.Add(-1)
 	a := s.serve(ctx, stream)
-	head, rest, err := encodeAnswer(a, s.clock.Now())
+	a.Load.LinkWait = s.link.Wait()
+	head, rest, err := encodeAnswer(a, s.clock.Now(), inlineOn(stream, a.Body))
 	if err == nil {
 		err = stream.Respond(head, bytes.NewReader(rest))
 	}
@@ -143,10 +206,18 @@
 	}
 	if err == nil && size > 0 {
 		if !s.budget.Reserve(size) {
-			return FailedAnswer(errkind.New(errkind.Overloaded, "no room for a body of %d bytes", size))
+			return s.refuse(r, errkind.New(errkind.Overloaded, "no room for a body of %d bytes", size))
 		}
 		defer s.budget.Release(size)
-		r.Body, err = readExactly(stream.Body(), size)
+		body, e := s.link.open(stream.Body(), bodyOf(r, size))
+		if e != nil {
+			return s.refuse(r, e)
+		}
+		r.Body, err = readExactly(body, size)
+		_ = body.Close()
+	}
+	if errors.Is(err, errLinkLate) {
+		return s.refuse(r, errkind.New(errkind.Overloaded, "%w", err))
 	}
 	if err != nil {
 		return FailedAnswer(&errkind.Error{Kind: errkind.PeerProtocol, Truth: errkind.NotRun, Detail: err.Error(), Err: err})
@@ -156,5 +227,19 @@
 		s.log.Error("request_panicked", zap.String("request_id", r.ID), zap.Error(err))
 		return &Answer{Failure: errkind.New(errkind.Internal, "a panic while the request was served"), ReachedBackend: true}
 	}
+	if size > 0 {
+		s.link.RecordWork(r.Route, a.ServiceTime)
+	}
+	return a
+}
+
+// refuse returns the answer for a request that is refused before its body has been taken.
+func (s *Server) refuse(r *Request, e *errkind.Error) *Answer {
+	s.log.Info("body_refused", zap.String("request_id", r.ID), zap.String("service", string(r.Service)),
+		zap.Duration("left", r.TimeLeft(s.clock.Now())), zap.Duration("retry_after", e.RetryAfter), zap.String("detail", e.Detail))
+	a := FailedAnswer(e)
+	if s.load != nil {
+		a.Load = s.load()
+	}
 	return a
 }
--- a/internal/hop/wire.go
+++ b/internal/hop/wire.go
@@ -59,6 +59,7 @@
 	ServiceTimeMS  int64 // time that the backend server took; zero means unknown
 	Advisory       *wireAdvisory
 	Suspicion      int
+	LinkWaitMS     int64
 }
 
 // wireAdvisory is the CBOR array that encodes an advisory. The order of the fields is the
@@ -92,24 +93,24 @@
 const inlineBytes = 64 << 10
 
 // encodeRequest returns the encoded head of r and the body that must follow it, if the
-// body is too long for the head.
-func encodeRequest(r *Request, now ident.Instant) (head, rest []byte, err error) {
+// body is longer than inline bytes.
+func encodeRequest(r *Request, now ident.Instant, inline int) (head, rest []byte, err error) {
 	w := wireRequest{
 		ID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Header: flattenFields(r.Header),
 		TimeLeftMS: r.TimeLeft(now).Milliseconds(), TargetLeftMS: targetLeft(r.TargetTime, now), Key: r.Key, Service: string(r.Service),
 		Route: r.Route, Priority: r.Priority, Caller: r.Caller, Trace: r.Trace, Advisory: encodeAdvisory(r.Advisory, now),
 		Suspicion: r.Suspicion,
 	}
-	w.Body, rest = splitBody(r.Body)
+	w.Body, rest = splitBody(r.Body, inline)
 	w.BodySize = len(rest)
 	head, err = codec.Marshal(&w)
 	return head, rest, err
 }
 
-// splitBody returns body as the part in the head if it fits there, else as the part that
-// follows the head.
-func splitBody(body []byte) (inline, rest []byte) {
-	if len(body) > inlineBytes {
+// splitBody returns body as the part in the head if it is no longer than limit bytes, else as
+// the part that follows the head.
+func splitBody(body []byte, limit int) (inline, rest []byte) {
+	if len(body) > limit {
 		return nil, body
 	}
 	return body, nil
@@ -157,17 +158,17 @@
 }
 
 // encodeAnswer returns the encoded head of a and the body that must follow it, if the
-// body is too long for the head.
-func encodeAnswer(a *Answer, now ident.Instant) (head, rest []byte, err error) {
+// body is longer than inline bytes.
+func encodeAnswer(a *Answer, now ident.Instant, inline int) (head, rest []byte, err error) {
 	w := wireAnswer{
 		Status: a.Status, Header: flattenFields(a.Header), ReachedBackend: a.ReachedBackend,
 		Load: [3]int{a.Load.Running, a.Load.Waiting, a.Load.Slots}, ServiceTimeMS: a.ServiceTime.Milliseconds(),
-		Advisory: encodeAdvisory(a.Advisory, now), Suspicion: a.Suspicion,
+		Advisory: encodeAdvisory(a.Advisory, now), Suspicion: a.Suspicion, LinkWaitMS: a.Load.LinkWait.Milliseconds(),
 	}
 	if e := a.Failure; e != nil {
 		w.Failure = &wireFailure{Kind: uint8(e.Kind), Truth: string(e.Answer().Truth), Detail: e.Detail, RetryMS: e.RetryAfter.Milliseconds()}
 	}
-	w.Body, rest = splitBody(a.Body)
+	w.Body, rest = splitBody(a.Body, inline)
 	w.BodySize = len(rest)
 	head, err = codec.Marshal(&w)
 	return head, rest, err
@@ -184,9 +185,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	a := &Answer{Status: w.Status, Header: fields, Body: w.Body, ReachedBackend: w.ReachedBackend, Load: Load{w.Load[0], w.Load[1], w.Load[2]}}
+	a := &Answer{Status: w.Status, Header: fields, Body: w.Body, ReachedBackend: w.ReachedBackend, Load: Load{Running: w.Load[0], Waiting: w.Load[1], Slots: w.Load[2]}}
+	a.Load.LinkWait = peerDuration(w.LinkWaitMS)
 	a.Advisory, a.Suspicion = decodeAdvisory(w.Advisory, now), limitSuspicion(w.Suspicion)
-	a.ServiceTime = min(max(time.Duration(w.ServiceTimeMS)*time.Millisecond, 0), maxPeerDuration)
+	a.ServiceTime = peerDuration(w.ServiceTimeMS)
 	if f := w.Failure; f != nil {
 		a.Failure = &errkind.Error{
 			Kind: errkind.Kind(f.Kind), Truth: errkind.Truth(f.Truth), Detail: f.Detail,
@@ -196,6 +198,12 @@
 	return a, w.BodySize, nil
 }
 
+// peerDuration returns the duration that a peer states in milliseconds, or the nearest one
+// that is possible.
+func peerDuration(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxPeerDuration.Milliseconds())) * time.Millisecond
+}
+
 // limitSuspicion returns the suspicion that a peer states, or the nearest one that is possible.
 func limitSuspicion(n int) int { return min(max(n, 0), maxSuspicion) }
 
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -75,14 +75,14 @@
 	// not block. It may be nil.
 	OnConnect func(ident.Member)
 
-	Window      int // bytes that a peer may send on a stream before it needs a grant
+	Window int // bytes that a peer may send on a stream before it needs a grant
 	// UnpacedBytes is the length of a body up to which peers may send it within a head. If it
 	// is set, the link of this host is slow: a peer sends no byte of a body on a stream before
 	// its reader has granted it, see PacedBody. Such a body is a lengthReader at its sender.
 	UnpacedBytes int
 	// SendRate is the rate of a slow link in bytes per second. Bodies that this daemon sends
 	// leave room on it for short messages. Zero means that they need not.
-	SendRate float64
+	SendRate    float64
 	Chunk       int // bytes of a body in one frame
 	MaxHead     int // bytes of a request or answer head, or of a control message
 	MaxStreams  int // open streams on one connection
--- a/internal/mesh/protocol_test.go
+++ b/internal/mesh/protocol_test.go
@@ -158,3 +158,27 @@
 		})
 	}
 }
+
+// TestSlowSenderLetsShortMessagesPass checks that a host with a slow link sends a short
+// request while a long body waits for its turn, also on another connection.
+func TestSlowSenderLetsShortMessagesPass(t *testing.T) {
+	slow := func(c *Config) { c.SendRate = 20 << 10 }
+	a, b, other := startNode(t, "a", echo, slow), startNode(t, "b", echo, nil), startNode(t, "c", echo, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		_, err := request(ctx, a, b, "long", bytes.NewReader(make([]byte, 1<<20)))
+		assert.Check(t, err != nil, "it takes 50 s")
+	})
+	await(func() bool { return b.Stats().BytesReceived > DefaultChunk })
+	for range 3 {
+		for _, to := range []*node{b, other} {
+			got, err := request(context.Background(), a, to, "short", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, got, "short:")
+		}
+	}
+	assert.Assert(t, b.Stats().BytesReceived < 1<<19, "%d bytes of the long body went first", b.Stats().BytesReceived)
+	cancel()
+	sending.Wait()
+}
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -140,6 +140,9 @@
 	}
 }
 
+// BytesReceived returns Stats.BytesReceived.
+func (m *Mesh) BytesReceived() uint64 { return m.counts.bytesReceived.Load() }
+
 // Send implements Transport.
 func (m *Mesh) Send(to Peer, msg Message) {
 	payload, err := codec.Marshal(msg)
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/balance"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
+	"github.com/burdockfold/burdockfold/internal/core/linkroom"
 	"github.com/burdockfold/burdockfold/internal/core/quarantine"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
 	"github.com/burdockfold/burdockfold/internal/core/routes"
@@ -184,6 +185,8 @@
 		PingInterval:     meshPingInterval,
 		PingTimeout:      meshPingTimeout,
 		IdlePingInterval: meshIdlePingInterval,
+		UnpacedBytes:     linkroom.UnpacedBytes(d.cfg.Resources.LinkMbps),
+		SendRate:         sendRate(d.cfg.Resources.LinkMbps),
 		Logger:           d.log,
 		OnConnect:        func(m ident.Member) { d.peers.handleConnected(m) },
 	})
@@ -228,7 +231,8 @@
 		rng:       rand.New(rand.NewPCG(uint64(d.member.Incarnation), uint64(os.Getpid()))),
 	}
 	budget := edge.Budget{Window: d.cfg.Retries.Window, Ratio: d.cfg.Retries.Ratio, Allowance: d.cfg.Retries.Allowance}
-	dispatcher := edge.NewDispatcher(d.member.Host, targetChooser, d.executor, hop.NewClient(d.mesh, d.clock), budget, d.metrics, d.clock, d.log)
+	remote := hop.NewClient(d.mesh, d.clock)
+	dispatcher := edge.NewDispatcher(d.member.Host, targetChooser, d.executor, remote, budget, d.metrics, d.clock, d.log)
 	if d.telemetry.Tracing() {
 		d.executor.tracer = hop.NewTracer(d.telemetry.Tracer())
 		dispatcher.SetTracer(d.executor.tracer)
@@ -237,7 +241,7 @@
 	d.edge = edge.NewServer(d.adapter.HeaderNames, d.configs, dispatcher, caller, maxConns, bodies, d.bounds, d.clock, d.log)
 	d.hop = hop.NewServer(d.executor, bodies, d.clock, d.log)
 	d.mesh.SetHandlers(d.peers, d.hop)
-	return nil
+	return d.buildLinkRoom(remote)
 }
 
 // SetService changes the service on this host, after the settings were reloaded.
