--- a/internal/core/keyrange/balance_test.go
+++ b/internal/core/keyrange/balance_test.go
@@ -36,9 +36,9 @@
 	cs := []Candidate{candidate(owners[0]), candidate(owners[1]), candidate(owners[2]), candidate(owners[3])}
 	cs[0].Utilization, cs[1].Utilization, cs[2].Utilization, cs[3].Utilization = 1.6, 0.1, 0.2, 0.3
 
-	assert.Assert(t, agent.handOffHotBuckets(cs))
+	assert.Assert(t, agent.handOffHotRanges(cs))
 	receivers := map[ident.Host]float64{}
-	_, total := agent.hotBuckets()
+	total := agent.ownLoad()
 	for _, g := range agent.handoffs {
 		receivers[g.to.Member.Host] += 1.6 * agent.load.sumOver(g.Span) / total
 	}
@@ -61,7 +61,7 @@
 	hotNeighbours(agent, 100, 60)
 	cs := []Candidate{candidate(a), candidate(b)}
 	cs[0].Utilization = 0.8
-	assert.Assert(t, !agent.handOffHotBuckets(cs))
+	assert.Assert(t, !agent.handOffHotRanges(cs))
 	assert.Equal(t, len(agent.handoffs), 0)
 }
 
@@ -77,7 +77,7 @@
 	cs[0].Utilization = 3
 	for round := range 100 {
 		hotNeighbours(agent, Key(round*640), 200)
-		agent.handOffHotBuckets(cs)
+		agent.handOffHotRanges(cs)
 		table := agent.table
 		for _, g := range agent.handoffs {
 			table = table.withRow(Row{Span: g.Span, Owner: g.to, Fence: uint64(round) + 2, TransferToken: "0123456789abcdef"})
@@ -101,9 +101,9 @@
 	hotNeighbours(agent, 100, 60)
 	cs := []Candidate{candidate(a), candidate(b)}
 	cs[0].Utilization, cs[1].Utilization = 5, 2
-	assert.Assert(t, !agent.handOffHotBuckets(cs))
+	assert.Assert(t, !agent.handOffHotRanges(cs))
 	cs[1].Utilization = 1.2 // a short queue
-	assert.Assert(t, agent.handOffHotBuckets(cs))
+	assert.Assert(t, agent.handOffHotRanges(cs))
 }
 
 // Load pattern: 53 servers hand keys off at the same time, and each write replaces the
