admission, sidecar: a cold server gets no more requests a second than its service tolerates

Change: the gate beside a server whose service has a rate for cold servers starts that many requests a second while the server is cold, by a token bucket and by the starts of the last second, and doubles the rate in four steps of 250 ms after that. A server that becomes cold again counts from its next heartbeat on; other daemons choose it as one with that limit and give it no keys for balance. Services without a rate are served as before.

--- a/internal/admitting/gate.go
+++ b/internal/admitting/gate.go
@@ -79,6 +79,14 @@
 	g.deliverCommands(g.core.SetLimit(perSecond, g.clock.Now()))
 }
 
+// SetCold states that the server is cold until an instant, zero if it is not, and what its
+// service tolerates meanwhile.
+func (g *Gate) SetCold(b admission.ColdBound, until ident.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliverCommands(g.core.SetCold(b, until, g.clock.Now()))
+}
+
 // Run is the duty that ticks the admission core until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
--- a/internal/core/admission/limit.go
+++ b/internal/core/admission/limit.go
@@ -16,21 +16,41 @@
 // interval between two ticks, and is short against the seconds over which servers count.
 const limitBurst = 250 * time.Millisecond
 
-// startLimit is a token bucket that limits the requests started per second.
+// startLimit is a token bucket that limits the requests started per second, to the lower of
+// what the server states and what it tolerates while it is cold.
 type startLimit struct {
-	perSecond float64 // zero: no limit
+	stated    float64 // by the server; zero: no limit
+	cold      coldStart
+	perSecond float64 // in force since updatedAt; zero: no limit
 	tokens    float64
 	updatedAt ident.Instant
 }
 
-// set changes the limit. A limit that begins starts without tokens, because requests of
-// the time before it are still running.
+// set changes the limit that the server states.
 func (l *startLimit) set(perSecond float64, now ident.Instant) {
 	l.refill(now)
+	l.stated = perSecond
+	l.apply(now)
+}
+
+// setCold changes the bound while the server is cold, and the end of that time.
+func (l *startLimit) setCold(b ColdBound, until, now ident.Instant) {
+	l.refill(now)
+	l.cold.set(b, until)
+	l.apply(now)
+}
+
+// apply puts in force what limits the starts now. A limit that begins starts without tokens,
+// because requests of the time before it are still running.
+func (l *startLimit) apply(now ident.Instant) {
 	if l.perSecond == 0 {
 		l.tokens = 0
 	}
-	l.perSecond, l.updatedAt = perSecond, now
+	l.perSecond = l.stated
+	if r := l.cold.rate(now); r > 0 && (l.stated == 0 || r < l.stated) {
+		l.perSecond = r
+	}
+	l.updatedAt = max(l.updatedAt, now)
 	l.tokens = min(l.tokens, l.capacity())
 }
 
@@ -41,28 +61,35 @@
 func (l *startLimit) refill(now ident.Instant) {
 	if passed := now.Sub(l.updatedAt); passed > 0 {
 		l.tokens = min(l.tokens+passed.Seconds()*l.perSecond, l.capacity())
-		l.updatedAt = now
+		l.apply(now)
 	}
 }
 
-// allows reports whether a request may start.
-func (l *startLimit) allows() bool { return l.perSecond == 0 || l.tokens >= 1 }
+// allows reports whether a request may start at the instant of the last update.
+func (l *startLimit) allows() bool {
+	return l.perSecond == 0 || l.tokens >= 1 && l.cold.freeIn(l.updatedAt) == 0
+}
 
-// spend takes the token of a request that starts.
+// spend takes the token of a request that starts at the instant of the last update.
 func (l *startLimit) spend() {
 	if l.perSecond > 0 {
 		l.tokens--
 	}
+	l.cold.record(l.updatedAt)
 }
 
 // waitFor returns the time until the limit lets a request start that has the given number
 // of requests ahead of it.
 func (l *startLimit) waitFor(ahead int) time.Duration {
 	missing := float64(ahead+1) - l.tokens
-	if l.perSecond == 0 || missing <= 0 {
+	if l.perSecond == 0 {
 		return 0
 	}
-	return time.Duration(missing / l.perSecond * float64(time.Second))
+	wait := max(time.Duration(missing/l.perSecond*float64(time.Second)), l.cold.freeIn(l.updatedAt))
+	if l.stated == 0 {
+		wait = min(wait, l.cold.warmIn(l.updatedAt))
+	}
+	return wait
 }
 
 // SetLimit sets the number of requests that may start per second; zero means any number.
@@ -73,13 +100,13 @@
 }
 
 // LimitUse returns the requests that arrive per second, by an average over inflowWindow, as
-// a fraction of the limit; zero without a limit.
+// a fraction of the limit that the server states; zero without one.
 func (c *Core) LimitUse(now ident.Instant) float64 {
-	if c.limit.perSecond == 0 {
+	if c.limit.stated == 0 {
 		return 0
 	}
 	c.arrivals.decay(now)
-	return c.arrivals.requests / inflowWindow.Seconds() / c.limit.perSecond
+	return c.arrivals.requests / inflowWindow.Seconds() / c.limit.stated
 }
 
 // queuePosition returns the number of queued requests that are ordered before w.
--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -37,6 +37,7 @@
 	Slots       int     // number of requests that the server runs at once
 	Utilization float64 // (slots in use + waiting requests) / slots
 	Limited     bool    // states a limit on its requests per second
+	Cold        bool    // it is cold, and its service bounds the requests that a cold server gets
 	LimitUse    float64 // requests that arrive per second / limit; known of the agent's own server only
 }
 
--- a/internal/core/keyrange/limited.go
+++ b/internal/core/keyrange/limited.go
@@ -76,7 +76,7 @@
 func excessReceivers(cs []Candidate, giver Candidate) []*receiver {
 	var out []*receiver
 	for _, c := range cs {
-		if c.Ready && c.Alive && !c.Limited && c.Slots > 0 && c.Owner != giver.Owner && c.Utilization < excessReceiving {
+		if c.Ready && c.Alive && !c.Limited && !c.Cold && c.Slots > 0 && c.Owner != giver.Owner && c.Utilization < excessReceiving {
 			out = append(out, &receiver{owner: c.Owner, utilization: c.Utilization, slots: c.Slots})
 		}
 	}
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -273,7 +273,19 @@
 // withoutLimited returns the candidates that state no limit, or all of them if none of
 // those can receive keys.
 func withoutLimited(cs []Candidate) []Candidate {
-	out := slices.DeleteFunc(slices.Clone(cs), func(c Candidate) bool { return c.Limited })
+	return preferred(cs, func(c Candidate) bool { return !c.Limited })
+}
+
+// withoutCold is the same of the candidates that are not cold: a cold server could not serve
+// the requests for more keys.
+func withoutCold(cs []Candidate) []Candidate {
+	return preferred(cs, func(c Candidate) bool { return !c.Cold })
+}
+
+// preferred returns the candidates that satisfy a condition, or all of them if none of those
+// can receive keys.
+func preferred(cs []Candidate, condition func(Candidate) bool) []Candidate {
+	out := slices.DeleteFunc(slices.Clone(cs), func(c Candidate) bool { return !condition(c) })
 	if slices.ContainsFunc(out, func(c Candidate) bool { return c.Ready && c.Alive }) {
 		return out
 	}
@@ -285,7 +297,7 @@
 func (a *Agent) leastLoaded(cs []Candidate) (Candidate, bool) {
 	best, found, bestUse := Candidate{}, false, 0.0
 	others := slices.DeleteFunc(slices.Clone(cs), func(c Candidate) bool { return c.Owner.Member.Host == a.member.Host })
-	for _, c := range withoutLimited(others) {
+	for _, c := range withoutCold(withoutLimited(others)) {
 		if !c.Ready || !c.Alive {
 			continue
 		}
--- a/internal/core/keyrange/suspicion.go
+++ b/internal/core/keyrange/suspicion.go
@@ -86,5 +86,5 @@
 	if len(spans) == 0 {
 		return nil
 	}
-	return &Write{Table: a.assign(t, spans, cs), Reason: "takeover"}
+	return &Write{Table: a.assign(t, spans, withoutCold(cs)), Reason: "takeover"}
 }
--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -117,7 +117,7 @@
 	options := make([]balance.Option, len(ps))
 	for i, p := range ps {
 		options[i] = balance.Option{
-			Host: p.Member.Host, Distance: c.distance(p.Location), Slots: p.Server.Slots, Limit: p.Server.Limit,
+			Host: p.Member.Host, Distance: c.distance(p.Location), Slots: p.Server.Slots, Limit: c.peers.acceptedRate(&p, now),
 			Cold: now < p.ColdUntil, Unreachable: p.UnreachableSince > 0,
 		}
 	}
--- /dev/null
+++ b/internal/sidecar/coldserver.go
@@ -0,0 +1,77 @@
+package sidecar
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/burdockfold/burdockfold/internal/core/admission"
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/roster"
+	"github.com/burdockfold/burdockfold/internal/core/routes"
+	"github.com/burdockfold/burdockfold/internal/settings"
+)
+
+// coldBoundOf returns what a service of a routing table tolerates while one of its servers is
+// cold. t may be nil.
+func coldBoundOf(t *routes.Table, s ident.Service, c settings.Cold) admission.ColdBound {
+	if t == nil {
+		return admission.ColdBound{}
+	}
+	rate := t.Services[s].ColdRate
+	return admission.ColdBound{Rate: rate, PerSecond: rate*c.Factor + c.Slack}
+}
+
+// updateCold takes the cold time from a heartbeat, and reports whether the server has become
+// cold. A heartbeat without one leaves the end as an earlier heartbeat stated it. The caller
+// holds s.mu.
+func (s *server) updateCold(hb *Heartbeat, sameInstance bool) (begins bool) {
+	now := s.clock.Now()
+	begins = hb.ColdFor > 0 && (!sameInstance || now >= s.coldUntil)
+	switch {
+	case hb.ColdFor > 0:
+		s.coldUntil = now.Add(hb.ColdFor)
+	case !sameInstance:
+		s.coldUntil = 0
+	}
+	s.boundCold(hb.Service)
+	return begins
+}
+
+// boundCold makes the gate start no more requests than a cold server of a service tolerates.
+// The caller holds s.mu.
+func (s *server) boundCold(service ident.Service) {
+	s.gate.SetCold(s.coldBound(service), s.coldUntil)
+}
+
+// handleConfig is called when another configuration is in force.
+func (s *server) handleConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boundCold(s.service)
+}
+
+// logCold logs that the server has become cold, if its service bounds what it gets.
+func (s *server) logCold(hb *Heartbeat) {
+	if b := s.coldBound(hb.Service); b.Rate > 0 {
+		s.log.Info("server_cold", zap.String("server", hb.Instance.ID), zap.String("service", string(hb.Service)),
+			zap.Duration("for", hb.ColdFor), zap.Float64("per_second", b.Rate))
+	}
+}
+
+// isBoundCold reports whether the server beside a daemon is cold and its service bounds what a
+// cold server gets.
+func (p *peers) isBoundCold(q *roster.Peer, now ident.Instant) bool {
+	return now < q.ColdUntil && p.server.coldBound(q.Server.Service).Rate > 0
+}
+
+// acceptedRate returns how many requests per second the server beside a daemon accepts from
+// all daemons together, by what it states and while it is cold; zero if any number.
+func (p *peers) acceptedRate(q *roster.Peer, now ident.Instant) float64 {
+	limit := q.Server.Limit
+	if !p.isBoundCold(q, now) {
+		return limit
+	}
+	if rate := p.server.coldBound(q.Server.Service).Rate; limit == 0 || rate < limit {
+		return rate
+	}
+	return limit
+}
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -103,12 +103,14 @@
 	d.departures = newDepartureStore(d.member.Host, d.adapter.Log, d.clock, log)
 	d.buildOwnership()
 	d.server = &server{clock: d.clock, ownership: d.ownership, gate: d.gate, log: log, drainTime: cfg.Drain.ServerTime, onChange: func() { d.peers.requestHello() },
-		isConfigured: func(s ident.Service) bool { return d.configs.isConfigured(s) }, saveDeparture: d.departures.save}
+		isConfigured: func(s ident.Service) bool { return d.configs.isConfigured(s) }, saveDeparture: d.departures.save,
+		coldBound: func(s ident.Service) admission.ColdBound { return coldBoundOf(d.configs.Routes(), s, cfg.Cold) }}
 	d.configs = &configFollower{
 		store: d.adapter.Log, decode: adapter.DecodeConfig, log: log,
 		pollTime: func() time.Duration { return d.peers.configPollTime() },
 		onChange: func(t *routes.Table, source string) {
 			d.ownership.addAgents(shardedServices(t))
+			d.server.handleConfig()
 			if source == sourceStore {
 				d.peers.sendVersionHint(t.Version)
 			}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -308,6 +308,7 @@
 			Slots:       q.Server.Slots,
 			Utilization: q.Utilization,
 			Limited:     q.Server.Limit > 0,
+			Cold:        p.isBoundCold(q, now),
 		}
 		if q.Member == p.self {
 			c.LimitUse = limitUse
--- a/internal/sidecar/relayentries.go
+++ b/internal/sidecar/relayentries.go
@@ -159,7 +159,7 @@
 
 // sameState reports whether two entries differ only in what changes all the time.
 func sameState(a, b roster.Entry) bool {
-	a.Server.ColdMS, b.Server.ColdMS = 0, 0
+	a.Server.ColdMS, b.Server.ColdMS = min(a.Server.ColdMS, 1), min(b.Server.ColdMS, 1)
 	return a.Member == b.Member && a.Server == b.Server && a.Leaving == b.Leaving && a.ConfigVersion == b.ConfigVersion
 }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/burdockfold/burdockfold/internal/admitting"
+	"github.com/burdockfold/burdockfold/internal/core/admission"
 	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
@@ -40,6 +41,7 @@
 	log       *zap.Logger
 	onChange  func() // called after a change that other daemons must learn of
 
+	coldBound     func(ident.Service) admission.ColdBound         // what a cold server of a service tolerates
 	isConfigured  func(ident.Service) bool                        // reports whether a service may exist, by the configuration in force
 	saveDeparture func(roster.Departure) (stored <-chan struct{}) // lets the next process of the daemon know a departure
 
@@ -54,7 +56,7 @@
 	sequence      int64            // of the last heartbeat
 	departed      roster.Departure // the last one, also if its instance has sent no heartbeat yet
 	lost          bool             // silent or refused a connection since its last heartbeat
-	coldUntil     ident.Instant    // the server is slow until then
+	coldUntil     ident.Instant    // the server is slow until then; zero if it never was
 	lastHeartbeat ident.Instant
 	statements    advisory.Tracker // what the server states in its answers
 	published     float64          // its limit as the other daemons know it
@@ -111,8 +113,9 @@
 	}
 	hb.Draining = hb.Draining || s.departed.Covers(hb.Instance) // an acknowledged leave cannot be undone
 	changed = !same || s.lost || wasLeaving != hb.Draining || s.slots != hb.Slots || s.service != hb.Service
-	if !same || hb.ColdFor > 0 {
-		s.coldUntil = now.Add(hb.ColdFor)
+	if s.updateCold(hb, same) {
+		changed = true
+		s.logCold(hb)
 	}
 	if hb.Draining {
 		since := now
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -25,6 +26,7 @@
 	return &server{
 		clock: clock, log: zap.NewNop(), onChange: func() {}, isConfigured: func(s ident.Service) bool { return s != "other" }, drainTime: 2500 * time.Millisecond,
 		saveDeparture: func(roster.Departure) <-chan struct{} { stored := make(chan struct{}); close(stored); return stored },
+		coldBound:     func(ident.Service) admission.ColdBound { return admission.ColdBound{} },
 		gate:          admitting.NewGate(admission.DefaultConfig(1), clock),
 		ownership: &ownership{
 			follower: sharedread.NewFollower(sharedread.DefaultConfig(), "h"), followers: map[ident.Host]ident.Instant{}, readTable: map[ident.Service]versionedTable{},
@@ -200,3 +202,40 @@
 	_, leaving, _ := s.target("s")
 	assert.Assert(t, leaving)
 }
+
+// A server that becomes cold again while it runs got all requests that its slots could take:
+// nothing but a restart counted. The other daemons must learn of it, too.
+func TestServerThatBecomesColdIsBounded(t *testing.T) {
+	clock := &manualClock{now: ident.Instant(time.Hour)}
+	s := newTestServer(clock)
+	s.coldBound = func(ident.Service) admission.ColdBound { return admission.ColdBound{Rate: 10, PerSecond: 20} }
+	told := 0
+	s.onChange = func() { told++ }
+	noWait, cancel := context.WithCancel(context.Background())
+	cancel()
+	startedIn := func(d time.Duration) (n int) {
+		for end := clock.now.Add(d); clock.now < end; clock.now = clock.now.Add(10 * time.Millisecond) {
+			if release, err := s.gate.Admit(noWait, admission.Arrival{Class: "c", Deadline: clock.now.Add(time.Millisecond)}); err == nil {
+				release(0)
+				n++
+			}
+		}
+		return n
+	}
+	s.HandleHeartbeat(newHeartbeat(1, 1))
+	assert.Equal(t, startedIn(time.Second), 100)
+	told = 0
+	hb := newHeartbeat(1, 2)
+	hb.ColdFor = 2 * time.Second
+	s.HandleHeartbeat(hb)
+	assert.Equal(t, startedIn(850*time.Millisecond), 0, "a second at the full rate has just passed")
+	next := newHeartbeat(1, 3)
+	next.ColdFor = time.Second
+	s.HandleHeartbeat(next)
+	n := startedIn(900 * time.Millisecond)
+	assert.Assert(t, n >= 8 && n <= 12, "%d requests started in 0.9 s", n)
+	assert.Equal(t, told, 1)
+	assert.Assert(t, s.rosterEntry().ColdMS > 0)
+	clock.now = clock.now.Add(2 * time.Second)
+	assert.Equal(t, startedIn(time.Second), 100)
+}
