--- a/internal/mesh/sender.go
+++ b/internal/mesh/sender.go
@@ -39,6 +39,7 @@
 	}
 	n := min(want, s.sendCredit)
 	s.sendCredit -= n
+	s.takenBytes += n
 	s.queuedChunks++
 	return n, nil
 }
@@ -49,6 +50,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sendCredit += n
+	s.takenBytes -= n
+}
+
+// endedBefore reports whether the sending half ended before all of a body of a length was taken
+// for sending: the peer will never have the whole body.
+func (s *stream) endedBefore(length int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sendErr != nil && s.takenBytes < length
 }
 
 // chunkWritten records that the writer has written, or skipped, a chunk of this
@@ -64,6 +74,7 @@
 type bodySender struct {
 	s         *stream
 	body      io.Reader
+	length    int // of the body, zero if it is not known
 	sentBytes uint64
 	ended     bool // the end mark is in an item
 }
@@ -84,10 +95,12 @@
 		return it, nil
 	}
 	r, ok := b.body.(lengthReader)
-	switch {
-	case !ok:
+	if !ok {
 		return it, nil
-	case r.Len() == 0:
+	}
+	b.length = r.Len()
+	switch {
+	case b.length == 0:
 		b.appendEndMark(it)
 		return it, nil
 	case b.s.c.m.sendPace != nil || !b.s.hasCredit():
--- a/internal/sidecar/coldserver.go
+++ b/internal/sidecar/coldserver.go
@@ -62,16 +62,3 @@
 func (p *peers) isBoundCold(q *roster.Peer, now ident.Instant) bool {
 	return now < q.ColdUntil && p.server.coldBound(q.Server.Service).Rate > 0
 }
-
-// acceptedRate returns how many requests per second the server beside a daemon accepts from
-// all daemons together, by what it states and while it is cold; zero if any number.
-func (p *peers) acceptedRate(q *roster.Peer, now ident.Instant) float64 {
-	limit := q.Server.Limit
-	if !p.isBoundCold(q, now) {
-		return limit
-	}
-	if rate := p.server.coldBound(q.Server.Service).Rate; limit == 0 || rate < limit {
-		return rate
-	}
-	return limit
-}
