admitting, origin, hop: admission goes by the room learnt where room.learn asks for it

The gate passes starts and ends to core/room and admits by the lesser of the announced slots and the room, never under half of the slots: that bounds what a wrong estimate costs. origin reads the load of an answer, the fourth figure included, and drops a field of another form. An answer between daemons ends with two new elements, room and pace, 0 if unknown, bounded when decoded. Gauges burdock_server_room and burdock_server_pace; server_declined names the room.

hop_test.go: the literal of Load names the new fields too and a check of the bounds is added.

--- a/internal/admitting/gate.go
+++ b/internal/admitting/gate.go
@@ -14,6 +14,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/admission"
 	"github.com/burdockfold/burdockfold/internal/core/config"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/room"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 	"github.com/burdockfold/burdockfold/internal/pipeline"
 )
@@ -30,6 +31,11 @@
 	core    *admission.Core
 	waiters map[admission.ID]chan admission.Command // channels of the waiting requests, with a buffer of one; each gets one command
 	lastID  admission.ID                            // of the last request that arrived
+
+	slots, reserved int             // as announced
+	learnt          *room.Estimator // nil: the announced slots alone count
+	inForce         int             // slots that the core knows, if the room is learnt
+	classes         map[admission.ID]admission.Class
 }
 
 // NewGate returns a gate with the given policy and no requests. Its owner must run
@@ -39,6 +45,7 @@
 		clock:   clock,
 		core:    admission.New(cfg),
 		waiters: make(map[admission.ID]chan admission.Command),
+		slots:   cfg.Slots, reserved: cfg.ReservedSlots,
 	}
 }
 
@@ -68,7 +75,13 @@
 func (g *Gate) SetSlots(slots, reserved int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliverCommands(g.core.SetSlots(slots, reserved, g.clock.Now()))
+	g.slots, g.reserved = slots, reserved
+	if g.learnt != nil {
+		g.learnt.SetSlots(slots)
+		g.inForce = g.usefulSlots(g.clock.Now())
+		slots = g.inForce
+	}
+	g.deliverCommands(g.core.SetSlots(slots, min(reserved, slots), g.clock.Now()))
 }
 
 // SetLimit changes the number of requests that may start per second; zero means any
@@ -97,7 +110,14 @@
 func (g *Gate) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.deliverCommands(g.core.Tick(g.clock.Now()))
+	now := g.clock.Now()
+	if g.learnt != nil {
+		if n := g.usefulSlots(now); n != g.inForce {
+			g.inForce = n
+			g.deliverCommands(g.core.SetSlots(n, min(g.reserved, n), now))
+		}
+	}
+	g.deliverCommands(g.core.Tick(now))
 }
 
 // Acquire waits for a slot for request r and returns the function that releases it.
@@ -140,12 +160,16 @@
 	g.lastID++
 	a.ID = g.lastID
 	cmds := g.core.Arrive(a, g.clock.Now())
+	if g.learnt != nil {
+		g.classes[a.ID] = a.Class
+		g.recordStarts(cmds)
+	}
 	if len(cmds) == 1 && requestID(cmds[0]) == a.ID {
 		return a.ID, nil, cmds[0]
 	}
 	wait := make(chan admission.Command, 1)
 	g.waiters[a.ID] = wait
-	g.deliverCommands(cmds)
+	g.send(cmds)
 	return a.ID, wait, nil
 }
 
@@ -160,9 +184,16 @@
 	return 0
 }
 
-// deliverCommands sends each command to the goroutine that waits for it. A waiting
-// goroutine gets exactly one command. The caller holds g.mu.
+// deliverCommands records the starts among the commands and sends each to the goroutine that
+// waits for it. The caller holds g.mu.
 func (g *Gate) deliverCommands(cmds []admission.Command) {
+	g.recordStarts(cmds)
+	g.send(cmds)
+}
+
+// send sends each command to the goroutine that waits for it. A waiting goroutine gets exactly
+// one command. The caller holds g.mu.
+func (g *Gate) send(cmds []admission.Command) {
 	for _, c := range cmds {
 		id := requestID(c)
 		if wait := g.waiters[id]; wait != nil {
@@ -178,6 +209,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.waiters, id)
+	g.recordEnd(id, 0)
 	g.deliverCommands(g.core.Cancel(id, g.clock.Now()))
 }
 
@@ -187,6 +219,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
+	g.recordEnd(id, served)
 	if served <= 0 {
 		g.deliverCommands(g.core.Cancel(id, now))
 		return
--- a/internal/core/advisory/advisory.go
+++ b/internal/core/advisory/advisory.go
@@ -24,6 +24,14 @@
 	// InvalidLimit is the text of a limit that is not a number. It leaves the limit as it
 	// was.
 	InvalidLimit string
+
+	Load ServerLoad // zero if the answer does not state it
+}
+
+// ServerLoad is what a server states of its load.
+type ServerLoad struct {
+	Running, Waiting, Slots int
+	Pace                    float64 // how long work takes on its machine at present, 1 as usual; zero if not stated
 }
 
 // Advisory is what is known of one instance of a server.
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -43,13 +43,19 @@
 }
 
 func TestAnswerSurvivesTheWire(t *testing.T) {
-	a := &Answer{Status: 200, Header: []Field{{"A", "b"}}, Body: []byte("x"), ReachedBackend: true, Load: Load{1, 2, 3}, ServiceTime: 5 * time.Millisecond, Suspicion: 2}
+	a := &Answer{Status: 200, Header: []Field{{"A", "b"}}, Body: []byte("x"), ReachedBackend: true, Load: Load{1, 2, 3, 4.5, 1.25}, ServiceTime: 5 * time.Millisecond, Suspicion: 2}
 	head, _, err := encodeAnswer(a, 1)
 	assert.NilError(t, err)
 	got, _, err := decodeAnswer(head, 1)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, a)
 
+	head, _, err = encodeAnswer(&Answer{Load: Load{Room: -3, Pace: 1e9}}, 1) // a peer's statement is bounded
+	assert.NilError(t, err)
+	got, _, err = decodeAnswer(head, 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Load, Load{Pace: maxPacePercent / 100})
+
 	head, _, err = encodeAnswer(FailedAnswer(errkind.New(errkind.NotOwner, "key %d", 3)), 1)
 	assert.NilError(t, err)
 	got, _, err = decodeAnswer(head, 1)
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -71,6 +71,9 @@
 // Load is the slot usage of a backend server.
 type Load struct {
 	Running, Waiting, Slots int
+
+	Room float64 // requests at once that the server takes well; zero if unknown
+	Pace float64 // how long work takes there at present, 1 as usual; zero if unknown
 }
 
 // Answer is the answer of a backend server or the failure that takes its place.
--- a/internal/hop/wire.go
+++ b/internal/hop/wire.go
@@ -19,6 +19,12 @@
 // maxSuspicion limits the suspicion in a message from a peer.
 const maxSuspicion = 1000
 
+// Limits of the room and the pace in a message from a peer.
+const (
+	maxRoomTenths  = 1 << 20
+	maxPacePercent = 10_000
+)
+
 // wireRequest is the CBOR array that encodes a request. It contains a body of up to
 // inlineBytes; a longer body is sent as the body of the stream. The order of the fields
 // is the wire format.
@@ -59,6 +65,8 @@
 	ServiceTimeMS  int64 // time that the backend server took; zero means unknown
 	Advisory       *wireAdvisory
 	Suspicion      int
+	RoomTenths     int // tenths of a request; zero means unknown
+	PacePercent    int // zero means unknown
 }
 
 // wireAdvisory is the CBOR array that encodes an advisory. The order of the fields is the
@@ -163,6 +171,7 @@
 		Status: a.Status, Header: flattenFields(a.Header), ReachedBackend: a.ReachedBackend,
 		Load: [3]int{a.Load.Running, a.Load.Waiting, a.Load.Slots}, ServiceTimeMS: a.ServiceTime.Milliseconds(),
 		Advisory: encodeAdvisory(a.Advisory, now), Suspicion: a.Suspicion,
+		RoomTenths: int(math.Round(10 * a.Load.Room)), PacePercent: int(math.Round(100 * a.Load.Pace)),
 	}
 	if e := a.Failure; e != nil {
 		w.Failure = &wireFailure{Kind: uint8(e.Kind), Truth: string(e.Answer().Truth), Detail: e.Detail, RetryMS: e.RetryAfter.Milliseconds()}
@@ -184,7 +193,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	a := &Answer{Status: w.Status, Header: fields, Body: w.Body, ReachedBackend: w.ReachedBackend, Load: Load{w.Load[0], w.Load[1], w.Load[2]}}
+	a := &Answer{Status: w.Status, Header: fields, Body: w.Body, ReachedBackend: w.ReachedBackend, Load: Load{Running: w.Load[0], Waiting: w.Load[1], Slots: w.Load[2]}}
+	a.Load.Room = float64(min(max(w.RoomTenths, 0), maxRoomTenths)) / 10
+	a.Load.Pace = float64(min(max(w.PacePercent, 0), maxPacePercent)) / 100
 	a.Advisory, a.Suspicion = decodeAdvisory(w.Advisory, now), limitSuspicion(w.Suspicion)
 	a.ServiceTime = min(max(time.Duration(w.ServiceTimeMS)*time.Millisecond, 0), maxPeerDuration)
 	if f := w.Failure; f != nil {
--- a/internal/origin/statement.go
+++ b/internal/origin/statement.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strconv"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 
@@ -27,7 +28,7 @@
 
 // statement returns what the header of an answer states about the server.
 func (x *exchange) statement(h *fasthttp.ResponseHeader) advisory.Statement {
-	s := advisory.Statement{Leaving: headerValue(h, x.names.Leaving) == "1"}
+	s := advisory.Statement{Leaving: headerValue(h, x.names.Leaving) == "1", Load: parseLoad(headerValue(h, x.names.Load))}
 	limit := headerValue(h, x.names.Limit)
 	if limit == "" {
 		return s
@@ -40,3 +41,35 @@
 	s.Limited, s.Limit = true, perSecond
 	return s
 }
+
+const (
+	maxStatedCount  = 1 << 20 // of requests and slots in a load field
+	maxStatedPace   = 10_000  // percent
+	minLoadElements = 3
+)
+
+// parseLoad returns the load in a header field: the numbers of running and waiting requests and
+// of slots, and in some services the time that work takes, in percent of the usual one. It
+// returns zero for a field of another form. Further elements may be added to the field.
+func parseLoad(field string) advisory.ServerLoad {
+	parts := strings.Split(field, ",")
+	if len(parts) < minLoadElements {
+		return advisory.ServerLoad{}
+	}
+	var counts [minLoadElements]int
+	for i := range counts {
+		n, err := strconv.Atoi(strings.TrimSpace(parts[i]))
+		if err != nil || n < 0 || n > maxStatedCount {
+			return advisory.ServerLoad{}
+		}
+		counts[i] = n
+	}
+	l := advisory.ServerLoad{Running: counts[0], Waiting: counts[1], Slots: counts[2]}
+	if len(parts) > minLoadElements {
+		percent, err := strconv.ParseFloat(strings.TrimSpace(parts[minLoadElements]), 64)
+		if err == nil && percent > 0 && percent <= maxStatedPace {
+			l.Pace = percent / 100
+		}
+	}
+	return l
+}
--- a/internal/origin/statement_test.go
+++ b/internal/origin/statement_test.go
@@ -32,6 +32,11 @@
 		{"no signature", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n", nil},
 		{"late answer to another request", "HTTP/1.1 200 OK\r\nId: z\r\nSignature: s\r\nLimit: 1\r\nContent-Length: 0\r\n\r\n" + okAnswer, none},
 		{"no answer", "", nil},
+		{"load", "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\nLoad: 3, 0,8\r\nContent-Length: 0\r\n\r\n", &advisory.Statement{Load: advisory.ServerLoad{Running: 3, Slots: 8}}},
+		{"load with its pace", "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\nLoad: 3,1,8,250,x\r\nContent-Length: 0\r\n\r\n", &advisory.Statement{Load: advisory.ServerLoad{Running: 3, Waiting: 1, Slots: 8, Pace: 2.5}}},
+		{"load without a number", "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\nLoad: 3,,8,250\r\nContent-Length: 0\r\n\r\n", none},
+		{"load with a negative number", "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\nLoad: 3,-1,8\r\nContent-Length: 0\r\n\r\n", none},
+		{"load with another pace", "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\nLoad: 3,1,8,NaN\r\nContent-Length: 0\r\n\r\n", &advisory.Statement{Load: advisory.ServerLoad{Running: 3, Waiting: 1, Slots: 8}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			clock := ident.NewMonotonicClock()
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -23,6 +23,7 @@
 	Cold      Cold             `yaml:"cold"`
 	Resources Resources        `yaml:"resources"`
 	Calls     Calls            `yaml:"calls"`
+	Room      Room             `yaml:"room"`
 	Telemetry Telemetry        `yaml:"telemetry"`
 }
 
@@ -89,6 +90,11 @@
 	Protect bool `yaml:"protect"`
 }
 
+// Room is how many requests at once the backend server takes well.
+type Room struct {
+	Learn bool `yaml:"learn"` // admit by the room that its answers show, not by the announced slots alone
+}
+
 // Resources are what the host grants to the daemon's process. Zero means unknown.
 type Resources struct {
 	MemoryMB int     `yaml:"memory_mb"` // the process is killed above it
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -98,6 +98,9 @@
 	policy := admission.DefaultConfig(initialSlots)
 	policy.CallsFirst = cfg.Calls.Protect
 	d.gate = admitting.NewGate(policy, d.clock)
+	if cfg.Room.Learn {
+		d.gate.LearnRoom()
+	}
 	if err := d.buildMetrics(); err != nil {
 		return nil, err
 	}
@@ -137,6 +140,9 @@
 	}
 	d.telemetry = p
 	d.metrics, err = newMetrics(p.Meter(), func() (int, int) { l := d.gate.SlotUsage(); return l.Running, l.Waiting }, func() float64 { return d.server.limit() })
+	if err == nil && d.cfg.Room.Learn {
+		err = observeRoom(p.Meter(), d.gate.Room)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/executor.go
+++ b/internal/sidecar/executor.go
@@ -62,13 +62,14 @@
 	l := x.gate.SlotUsage()
 	a.Advisory = x.server.advisory()
 	a.Load = hop.Load{Running: l.Running, Waiting: l.Waiting, Slots: x.server.rosterEntry().Slots}
+	a.Load.Room, a.Load.Pace = x.gate.Room()
 	x.metrics.recordServiceTime(r.Route, a.ServiceTime)
 	if e := a.Failure; e != nil {
 		x.metrics.countDeclined(e.Kind.String())
 		now := x.clock.Now()
 		x.log.Info("server_declined", zap.String("request_id", r.ID), zap.String("service", string(r.Service)), zap.Int("key", r.Key),
 			zap.Stringer("kind", e.Kind), zap.Bool("reached", a.ReachedBackend), zap.Int("running", l.Running), zap.Int("waiting", l.Waiting),
-			zap.Int("slots", a.Load.Slots), zap.Duration("after", now.Sub(arrived)), zap.Duration("left", r.TimeLeft(now)), zap.String("detail", e.Detail))
+			zap.Int("slots", a.Load.Slots), zap.Float64("room", a.Load.Room), zap.Duration("after", now.Sub(arrived)), zap.Duration("left", r.TimeLeft(now)), zap.String("detail", e.Detail))
 	}
 	return a
 }
@@ -138,6 +139,7 @@
 	}
 	if a.Statement != nil {
 		x.server.recordStatement(target.ID, *a.Statement, started)
+		x.gate.RecordPace(a.Statement.Load.Pace)
 	}
 	x.metrics.countServerRequest(a.ReachedBackend)
 	serviceTime := x.clock.Now().Sub(started)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -85,6 +85,22 @@
 	return &out, nil
 }
 
+// observeRoom creates the gauges of what the server takes well, and of its pace.
+func observeRoom(m metric.Meter, learnt func() (room, pace float64)) error {
+	gauge := func(name, description string, value func() float64) error {
+		_, err := m.Float64ObservableGauge(name, metric.WithDescription(description),
+			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+				o.Observe(value())
+				return nil
+			}))
+		return err
+	}
+	return errors.Join(
+		gauge("burdock_server_room", "requests at once that the backend server here takes well", func() float64 { room, _ := learnt(); return room }),
+		gauge("burdock_server_pace", "how long work takes on the backend server here, 1 as usual, 0 if unknown", func() float64 { _, pace := learnt(); return pace }),
+	)
+}
+
 // count adds one to a counter.
 func count(c metric.Int64Counter, attributes ...attribute.KeyValue) {
 	c.Add(context.Background(), 1, metric.WithAttributes(attributes...))
