--- a/internal/core/admission/order.go
+++ b/internal/core/admission/order.go
@@ -21,6 +21,7 @@
 	servedMin      = 5               // arrivals in the window before the ratio of a class counts
 	neglectedRatio = 0.35            // of another class's ratio; a margin above the quarter that is promised
 	urgentMargin   = 0.03            // by which a less urgent class may be ahead
+	servedClasses  = 32              // classes that are compared; further ones keep their rank
 )
 
 // servedCount counts the arrivals of a class and those of them that started.
@@ -56,7 +57,7 @@
 	}
 	s := r.byClass[w.Class]
 	if s == nil {
-		if len(r.byClass) >= maxClasses {
+		if len(r.byClass) >= servedClasses {
 			return
 		}
 		s = &servedCount{}
@@ -94,6 +95,19 @@
 	return false
 }
 
+// anyNeglected reports whether a class has fallen behind others.
+func (r *servedRatios) anyNeglected() bool {
+	if len(r.byClass) < 2 {
+		return false
+	}
+	for k := range r.byClass {
+		if r.isNeglected(k) {
+			return true
+		}
+	}
+	return false
+}
+
 // applyOrder sets what the order with CallsFirst changes in a new request. A call is given up
 // only when its mean service time does not fit: it is not marked late, and a chance that it is
 // answered is worth more than the slot's time, since its parent's work is lost with it.
@@ -135,17 +149,11 @@
 // neglectedIndex returns the index of the first waiting request of a class that has fallen
 // behind, -1 if there is none. It may use the slots that are kept for calls.
 func (c *Core) neglectedIndex() int {
-	if !c.cfg.CallsFirst || !c.limit.allows() || len(c.running) >= c.cfg.Slots || len(c.served.byClass) < 2 {
+	if !c.cfg.CallsFirst || !c.limit.allows() || len(c.running) >= c.cfg.Slots || !c.served.anyNeglected() {
 		return -1
 	}
-	known := make(map[Class]bool, len(c.served.byClass))
 	for i := range c.queue {
-		k := c.queue[i].Class
-		if _, seen := known[k]; seen {
-			continue
-		}
-		known[k] = true
-		if c.served.isNeglected(k) {
+		if k := c.queue[i].Class; c.served.byClass[k] != nil && c.served.isNeglected(k) {
 			return i
 		}
 	}
