--- a/internal/core/admission/calls.go
+++ b/internal/core/admission/calls.go
@@ -86,8 +86,8 @@
 		return false
 	}
 	for _, other := range l.byClass {
-		if other.total >= callMinArrivals && other.topShare() <= mixMaxShare {
-			return k.timeLeft <= callMaxTimeLeft*other.timeLeft
+		if other.total >= callMinArrivals && other.topShare() <= mixMaxShare && k.timeLeft <= callMaxTimeLeft*other.timeLeft {
+			return true
 		}
 	}
 	return false
