--- a/internal/sidecar/chains.go
+++ b/internal/sidecar/chains.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/burdockfold/burdockfold/internal/core/admission"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
@@ -99,7 +100,7 @@
 }
 
 // RecordAnswer implements edge.Chooser. A canceled request says nothing of the room for others.
-func (c chainChooser) RecordAnswer(t edge.Target, r *hop.Request, a *hop.Answer) {
+func (c chainChooser) RecordAnswer(t edge.Target, r *hop.Request, a *hop.Answer, took time.Duration) {
 	c.chains.endCall(r, isWhole(a) || a.Failure != nil && a.Failure.Kind == errkind.Canceled)
-	c.Chooser.RecordAnswer(t, r, a)
+	c.Chooser.RecordAnswer(t, r, a, took)
 }
--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -212,7 +212,7 @@
 // outcomeOfAnswer returns what an answer says of the server.
 func outcomeOfAnswer(r *hop.Request, a *hop.Answer) balance.Outcome {
 	o := balance.Outcome{
-		Report: balance.Report{Running: a.Load.Running, Waiting: a.Load.Waiting, Slots: a.Load.Slots},
+		Report: balance.Report{Running: a.Load.Running, Waiting: a.Load.Waiting, Slots: a.Load.Slots, Room: a.Load.Room, Pace: a.Load.Pace},
 		Route:  r.Route, ServiceTime: a.ServiceTime, Bytes: len(a.Body),
 	}
 	if a.Failure == nil || a.Failure.Kind == errkind.Canceled {
