--- a/internal/core/linkroom/config.go
+++ b/internal/core/linkroom/config.go
@@ -19,6 +19,10 @@
 	// link that needs no pacing.
 	largestUnpaced = 64 << 10
 
+	// pieceTime is the time on the link of what is granted at a time: long enough that the
+	// credit costs little processor time, and short beside InFlight.
+	pieceTime = 10 * time.Millisecond
+
 	bitsPerMbps = 1e6
 	bitsPerByte = 8
 )
@@ -54,7 +58,7 @@
 	rate := BytesPerSecond(mbps)
 	return Config{
 		Rate: rate, Share: 0.9, MinShare: 0.2, InFlight: 40 * time.Millisecond,
-		Piece: max(int(rate*slowTime.Seconds()), MinUnpaced), StaleAfter: 200 * time.Millisecond,
+		Piece: max(int(rate*pieceTime.Seconds()), MinUnpaced), StaleAfter: 200 * time.Millisecond,
 	}
 }
 
--- a/internal/core/linkroom/room.go
+++ b/internal/core/linkroom/room.go
@@ -12,7 +12,9 @@
 	otherWindow = time.Second
 	// plannedShare is the part of the bodies' rate that is promised, as other traffic comes
 	// and goes.
-	plannedShare = 0.95
+	plannedShare = 0.9
+	// maxAway bounds the distance of a sender, as a slow one looks like one that is far away.
+	maxAway = 100 * time.Millisecond
 )
 
 // ID identifies an admitted body.
@@ -45,6 +47,7 @@
 	granted  int
 	arrived  int
 	usedAt   ident.Instant // last grant to an idle sender, or last arrival
+	away     time.Duration // time that credit and bytes travel beyond InFlight
 	missing  float64       // bytes not arrived; kept for the sums
 	lastByte ident.Instant // it has to have arrived by then to be of use
 }
@@ -178,9 +181,12 @@
 // Arrived records that some bytes of a body have arrived. A body that is complete is forgotten.
 func (r *Room) Arrived(now ident.Instant, id ID, bytes int) {
 	e := r.byID[id]
-	if e == nil {
+	if e == nil || bytes <= 0 {
 		return
 	}
+	if e.arrived == 0 {
+		e.away = min(max(now.Sub(e.usedAt)-r.cfg.InFlight, 0), maxAway)
+	}
 	e.arrived += bytes
 	e.missing = float64(max(e.Size-e.arrived, 0))
 	e.usedAt = now
@@ -214,22 +220,23 @@
 	var onTheWay float64
 	for _, e := range r.queue {
 		if !r.isStale(now, e) {
-			onTheWay += float64(e.granted - e.arrived)
+			onTheWay += r.atLink(e, 0)
 		}
 	}
 	for _, e := range r.queue {
 		n := 0
 		for !r.isStale(now, e) {
 			piece := min(r.cfg.Piece, e.Size-e.granted-n)
-			if piece <= 0 || e.granted+n-e.arrived+piece > r.cfg.bodyBytes() {
+			if piece <= 0 || e.granted+n-e.arrived+piece > r.cfg.bodyBytes()+int(r.travelling(e)) {
 				break
 			}
-			if r.tokens < float64(piece) || onTheWay+float64(piece) > r.cfg.inFlightBytes() {
+			more := r.atLink(e, n+piece) - r.atLink(e, n)
+			if r.tokens < float64(piece) || onTheWay+more > r.cfg.inFlightBytes() {
 				break
 			}
 			n += piece
 			r.tokens -= float64(piece)
-			onTheWay += float64(piece)
+			onTheWay += more
 		}
 		if n == 0 {
 			continue
@@ -243,6 +250,15 @@
 	return grants, late, r.untilNext()
 }
 
+// travelling returns how many granted bytes of a body may be on their way and not yet at the
+// link, because their sender is far away.
+func (r *Room) travelling(e *entry) float64 { return r.bodyRate() * e.away.Seconds() }
+
+// atLink returns how many bytes of a body wait for the link at most, with some more granted.
+func (r *Room) atLink(e *entry, more int) float64 {
+	return max(float64(e.granted+more-e.arrived)-r.travelling(e), 0)
+}
+
 // isStale reports whether the sender of a body has held credit for long without use.
 func (r *Room) isStale(now ident.Instant, e *entry) bool {
 	return e.granted > e.arrived && now.Sub(e.usedAt) > r.cfg.StaleAfter
--- a/internal/core/linkroom/room_test.go
+++ b/internal/core/linkroom/room_test.go
@@ -171,3 +171,24 @@
 	_, late, _ := r.Step(far)
 	assert.Assert(t, len(late) == 3 && r.Wait(far) == 0, "%v", late)
 }
+
+// A sender in another region keeps the link busy although its credit takes 60 ms to be used.
+func TestFarSenderFillsTheLink(t *testing.T) {
+	r := New(DefaultConfig(mbps), 0)
+	const size = 360 << 10
+	id, _, ok := r.Admit(0, Body{Size: size, Deadline: ident.Instant(time.Minute)})
+	assert.Assert(t, ok)
+	var now ident.Instant
+	atLink := make(map[ident.Instant]int) // bytes by the time at which they reach the link
+	for left, waiting := size, 0; left > 0; now = now.Add(tick) {
+		grants, _, _ := r.Step(now)
+		for _, g := range grants {
+			atLink[now.Add(60*time.Millisecond)] += g.Bytes
+		}
+		waiting += atLink[now]
+		n := min(waiting, int(BytesPerSecond(mbps)*tick.Seconds()))
+		waiting, left = waiting-n, left-n
+		r.Arrived(now, id, n)
+	}
+	assert.Assert(t, now < ident.Instant(700*time.Millisecond), "%s", time.Duration(now))
+}
