linkroom: the distance of a sender is its least, over all bodies

Taken from each body alone, it grew with the queue of a link that other traffic fills, and so let more bytes into that queue.

--- a/internal/core/linkroom/room.go
+++ b/internal/core/linkroom/room.go
@@ -15,6 +15,8 @@
 	plannedShare = 0.9
 	// maxAway bounds the distance of a sender, as a slow one looks like one that is far away.
 	maxAway = 100 * time.Millisecond
+	// maxSenders bounds the senders whose distance is known.
+	maxSenders = 1024
 )
 
 // ID identifies an admitted body.
@@ -22,6 +24,7 @@
 
 // Body is a body that a sender announces.
 type Body struct {
+	From     ident.Host
 	Size     int           // bytes
 	Class    string        // bodies of a class need about the same work once they have arrived
 	Priority int           // 0 is the most urgent
@@ -47,7 +50,6 @@
 	granted  int
 	arrived  int
 	usedAt   ident.Instant // last grant to an idle sender, or last arrival
-	away     time.Duration // time that credit and bytes travel beyond InFlight
 	missing  float64       // bytes not arrived; kept for the sums
 	lastByte ident.Instant // it has to have arrived by then to be of use
 }
@@ -73,11 +75,14 @@
 	otherAvg float64 // bytes per second of them
 
 	work workTimes
+	// away holds the least time by which credit and bytes of a sender travelled longer than
+	// InFlight. The least one, since a full link delays the bytes of near senders as well.
+	away map[ident.Host]time.Duration
 }
 
 // New returns the room of a link with nothing on it.
 func New(c Config, now ident.Instant) *Room {
-	return &Room{cfg: c, byID: make(map[ID]*entry), tokens: c.inFlightBytes(), at: now, work: make(workTimes)}
+	return &Room{cfg: c, byID: make(map[ID]*entry), tokens: c.inFlightBytes(), at: now, work: make(workTimes), away: make(map[ident.Host]time.Duration)}
 }
 
 // RecordOther records bytes that have arrived without a grant, such as heads and short bodies.
@@ -185,7 +190,7 @@
 		return
 	}
 	if e.arrived == 0 {
-		e.away = min(max(now.Sub(e.usedAt)-r.cfg.InFlight, 0), maxAway)
+		r.recordDistance(e.From, now.Sub(e.usedAt))
 	}
 	e.arrived += bytes
 	e.missing = float64(max(e.Size-e.arrived, 0))
@@ -195,6 +200,14 @@
 	}
 }
 
+// recordDistance records the time from the first credit of a body to its first bytes.
+func (r *Room) recordDistance(from ident.Host, d time.Duration) {
+	d = min(max(d-r.cfg.InFlight, 0), maxAway)
+	if old, known := r.away[from]; known && old > d || !known && len(r.away) < maxSenders {
+		r.away[from] = d
+	}
+}
+
 // Remove forgets a body, which has arrived or is not going to.
 func (r *Room) Remove(id ID) {
 	e := r.byID[id]
@@ -252,7 +265,7 @@
 
 // travelling returns how many granted bytes of a body may be on their way and not yet at the
 // link, because their sender is far away.
-func (r *Room) travelling(e *entry) float64 { return r.bodyRate() * e.away.Seconds() }
+func (r *Room) travelling(e *entry) float64 { return r.bodyRate() * r.away[e.From].Seconds() }
 
 // atLink returns how many bytes of a body wait for the link at most, with some more granted.
 func (r *Room) atLink(e *entry, more int) float64 {
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -73,7 +73,7 @@
 		return FailedAnswer(errkind.New(errkind.PeerProtocol, "%w", err))
 	}
 	if size > 0 {
-		a.Body, err = c.readAnswerBody(stream.Body(), size, r)
+		a.Body, err = c.readAnswerBody(stream.Body(), to.Member.Host, size, r)
 	}
 	if err != nil {
 		return FailedAnswer(errkind.New(errkind.AnswerCut, "%w", err))
@@ -82,11 +82,11 @@
 }
 
 // readAnswerBody reads the body of the answer to r.
-func (c *Client) readAnswerBody(body io.Reader, size int, r *Request) ([]byte, error) {
+func (c *Client) readAnswerBody(body io.Reader, from ident.Host, size int, r *Request) ([]byte, error) {
 	if err := checkBodySize(size); err != nil {
 		return nil, err
 	}
-	b := bodyOf(r, size)
+	b := bodyOf(r, from, size)
 	b.Kept = true
 	paced, e := c.link.open(body, b)
 	if e != nil {
@@ -97,8 +97,8 @@
 }
 
 // bodyOf describes a body of a request or of the answer to it.
-func bodyOf(r *Request, size int) linkroom.Body {
-	return linkroom.Body{Size: size, Class: r.Route, Priority: r.Priority, Target: r.TargetTime, Deadline: r.Deadline}
+func bodyOf(r *Request, from ident.Host, size int) linkroom.Body {
+	return linkroom.Body{From: from, Size: size, Class: r.Route, Priority: r.Priority, Target: r.TargetTime, Deadline: r.Deadline}
 }
 
 // streamFailure returns the answer for a request whose stream failed. It assumes that
@@ -186,7 +186,7 @@
 func (s *Server) HandleStream(ctx context.Context, from ident.Member, stream mesh.ServerStream) {
 	s.open.Add(1)
 	defer s.open.Add(-1)
-	a := s.serve(ctx, stream)
+	a := s.serve(ctx, from.Host, stream)
 	a.Load.LinkWait = s.link.Wait()
 	head, rest, err := encodeAnswer(a, s.clock.Now(), inlineOn(stream, a.Body))
 	if err == nil {
@@ -199,7 +199,7 @@
 
 // serve decodes the request of a stream and passes it to the next handler. A request
 // that cannot be read is answered with PeerProtocol and has not been executed.
-func (s *Server) serve(ctx context.Context, stream mesh.ServerStream) *Answer {
+func (s *Server) serve(ctx context.Context, from ident.Host, stream mesh.ServerStream) *Answer {
 	r, size, err := decodeRequest(stream.Head(), s.clock.Now())
 	if err == nil {
 		err = checkBodySize(size)
@@ -209,7 +209,7 @@
 			return s.refuse(r, errkind.New(errkind.Overloaded, "no room for a body of %d bytes", size))
 		}
 		defer s.budget.Release(size)
-		body, e := s.link.open(stream.Body(), bodyOf(r, size))
+		body, e := s.link.open(stream.Body(), bodyOf(r, from, size))
 		if e != nil {
 			return s.refuse(r, e)
 		}
