--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -3,7 +3,8 @@
 // request with Transport.Open and sends control messages with Transport.Send;
 // the peer passes them to its StreamHandler and ControlHandler. All streams
 // that one daemon opens to another share one connection, and each has flow
-// control of its own, so that a slow reader delays only its own stream. A
+// control of its own, so that a slow reader delays only its own stream. A daemon
+// with a slow link grants each long body by itself, see PacedBody. A
 // reader of a body sees io.EOF only if the whole body arrived. An *UnsentError
 // guarantees that no handler of the peer saw the request.
 package mesh
