--- a/internal/core/linkroom/room.go
+++ b/internal/core/linkroom/room.go
@@ -12,7 +12,11 @@
 	otherWindow = time.Second
 	// plannedShare is the part of the bodies' rate that is promised, as other traffic comes
 	// and goes.
-	plannedShare = 0.95
+	plannedShare = 0.9
+	// maxAway bounds the distance of a sender, as a slow one looks like one that is far away.
+	maxAway = 100 * time.Millisecond
+	// maxSenders bounds the senders whose distance is known.
+	maxSenders = 1024
 )
 
 // ID identifies an admitted body.
@@ -20,6 +24,7 @@
 
 // Body is a body that a sender announces.
 type Body struct {
+	From     ident.Host
 	Size     int           // bytes
 	Class    string        // bodies of a class need about the same work once they have arrived
 	Priority int           // 0 is the most urgent
@@ -70,11 +75,14 @@
 	otherAvg float64 // bytes per second of them
 
 	work workTimes
+	// away holds the least time by which credit and bytes of a sender travelled longer than
+	// InFlight. The least one, since a full link delays the bytes of near senders as well.
+	away map[ident.Host]time.Duration
 }
 
 // New returns the room of a link with nothing on it.
 func New(c Config, now ident.Instant) *Room {
-	return &Room{cfg: c, byID: make(map[ID]*entry), tokens: c.inFlightBytes(), at: now, work: make(workTimes)}
+	return &Room{cfg: c, byID: make(map[ID]*entry), tokens: c.inFlightBytes(), at: now, work: make(workTimes), away: make(map[ident.Host]time.Duration)}
 }
 
 // RecordOther records bytes that have arrived without a grant, such as heads and short bodies.
@@ -178,9 +186,12 @@
 // Arrived records that some bytes of a body have arrived. A body that is complete is forgotten.
 func (r *Room) Arrived(now ident.Instant, id ID, bytes int) {
 	e := r.byID[id]
-	if e == nil {
+	if e == nil || bytes <= 0 {
 		return
 	}
+	if e.arrived == 0 {
+		r.recordDistance(e.From, now.Sub(e.usedAt))
+	}
 	e.arrived += bytes
 	e.missing = float64(max(e.Size-e.arrived, 0))
 	e.usedAt = now
@@ -189,6 +200,14 @@
 	}
 }
 
+// recordDistance records the time from the first credit of a body to its first bytes.
+func (r *Room) recordDistance(from ident.Host, d time.Duration) {
+	d = min(max(d-r.cfg.InFlight, 0), maxAway)
+	if old, known := r.away[from]; known && old > d || !known && len(r.away) < maxSenders {
+		r.away[from] = d
+	}
+}
+
 // Remove forgets a body, which has arrived or is not going to.
 func (r *Room) Remove(id ID) {
 	e := r.byID[id]
@@ -214,22 +233,23 @@
 	var onTheWay float64
 	for _, e := range r.queue {
 		if !r.isStale(now, e) {
-			onTheWay += float64(e.granted - e.arrived)
+			onTheWay += r.atLink(e, 0)
 		}
 	}
 	for _, e := range r.queue {
 		n := 0
 		for !r.isStale(now, e) {
 			piece := min(r.cfg.Piece, e.Size-e.granted-n)
-			if piece <= 0 || e.granted+n-e.arrived+piece > r.cfg.bodyBytes() {
+			if piece <= 0 || e.granted+n-e.arrived+piece > r.cfg.bodyBytes()+int(r.travelling(e)) {
 				break
 			}
-			if r.tokens < float64(piece) || onTheWay+float64(piece) > r.cfg.inFlightBytes() {
+			more := r.atLink(e, n+piece) - r.atLink(e, n)
+			if r.tokens < float64(piece) || onTheWay+more > r.cfg.inFlightBytes() {
 				break
 			}
 			n += piece
 			r.tokens -= float64(piece)
-			onTheWay += float64(piece)
+			onTheWay += more
 		}
 		if n == 0 {
 			continue
@@ -243,6 +263,15 @@
 	return grants, late, r.untilNext()
 }
 
+// travelling returns how many granted bytes of a body may be on their way and not yet at the
+// link, because their sender is far away.
+func (r *Room) travelling(e *entry) float64 { return r.bodyRate() * r.away[e.From].Seconds() }
+
+// atLink returns how many bytes of a body wait for the link at most, with some more granted.
+func (r *Room) atLink(e *entry, more int) float64 {
+	return max(float64(e.granted+more-e.arrived)-r.travelling(e), 0)
+}
+
 // isStale reports whether the sender of a body has held credit for long without use.
 func (r *Room) isStale(now ident.Instant, e *entry) bool {
 	return e.granted > e.arrived && now.Sub(e.usedAt) > r.cfg.StaleAfter
