keyrange: hot ranges are as large as a receiver's room, by the load that callers ask for

A hot set of 60 to 200 neighbouring keys was a few buckets, each more than any other server had room for, so that it stayed where it was; what was refused for it showed nowhere.

--- a/internal/admitting/gate.go
+++ b/internal/admitting/gate.go
@@ -63,6 +63,13 @@
 	return g.core.LimitUse(g.clock.Now())
 }
 
+// MeanServiceTime returns the expected service time of a class, zero if nothing has run yet.
+func (g *Gate) MeanServiceTime(c admission.Class) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.MeanServiceTime(c)
+}
+
 // SetSlots changes the number of slots and the minimum number of slots that are
 // reserved for short classes.
 func (g *Gate) SetSlots(slots, reserved int) {
--- a/internal/core/admission/core.go
+++ b/internal/core/admission/core.go
@@ -153,6 +153,9 @@
 // classes.
 func (c *Core) ReservedSlots() int { return c.reserve.size(c.cfg) }
 
+// MeanServiceTime returns the expected service time of a class, zero if nothing has run yet.
+func (c *Core) MeanServiceTime(k Class) time.Duration { return c.estimates.meanServiceTime(k) }
+
 // SetSlots changes the number of slots and the minimum number of reserved slots,
 // for example after a new announcement of the backend server. Running requests are
 // not affected.
--- a/internal/core/keyrange/balance.go
+++ b/internal/core/keyrange/balance.go
@@ -26,7 +26,7 @@
 	}
 	a.load.decay(a.cfg.BalanceInterval)
 	a.nextBalanceAt = now.Add(a.cfg.BalanceInterval)
-	if a.handOffExcess(cs) || !a.shareSurplus(cs) && a.handOffHotBuckets(cs) {
+	if a.handOffExcess(cs) || !a.shareSurplus(cs) && a.handOffHotRanges(cs) {
 		a.nextBalanceAt = now.Add(a.cfg.BalanceCooldown)
 	}
 }
@@ -99,38 +99,44 @@
 	return []Span{{s.From, s.From + Key(n-1)}, {s.To - Key(n-1), s.To}}
 }
 
-// maxBalanceHandoffs bounds the ranges that one call of handOffHotBuckets hands
+// maxBalanceHandoffs bounds the ranges that one call of handOffHotRanges hands
 // off: they move at the same time, and each may split a row.
-const maxBalanceHandoffs = 8
+const maxBalanceHandoffs = 32
 
 // maxRowsPerOwner bounds the rows of one owner: with their fencing tokens and
 // transfer tokens they fit into the 4 KiB that a backend server reads of the
 // answer to its heartbeat.
 const maxRowsPerOwner = 64
 
-// handOffHotBuckets hands off the busiest buckets of an overloaded server to
-// servers with free capacity, and reports whether it did. It always chooses the
-// least utilized receiver, so that hot keys that lie close together end up at
-// several servers.
-func (a *Agent) handOffHotBuckets(cs []Candidate) bool {
+// handOffHotRanges hands off the busiest ranges of an overloaded server to servers with
+// free capacity, and reports whether it did. It always chooses the least utilized
+// receiver, and no range larger than its free capacity, so that hot keys that lie close
+// together end up at several servers.
+func (a *Agent) handOffHotRanges(cs []Candidate) bool {
 	receivers, utilization, mean := a.loadReceivers(cs)
 	if utilization < overloadUtilization || len(receivers) == 0 {
 		return false
 	}
-	hot, total := a.hotBuckets()
+	total := a.ownLoad()
+	if total == 0 {
+		return false
+	}
+	offered := max(utilization, offeredUtilization(total, a.ownSlots(cs)))
+	mean += (offered - utilization) / float64(readyCount(cs))
+	fit := (mean - leastUtilized(receivers).utilization) / minFit
 	added := false
-	for _, b := range hot {
-		if utilization <= mean+balancedMargin || len(a.handoffs) >= maxBalanceHandoffs {
+	for _, b := range a.hotRanges(total * fit / offered) {
+		if offered <= mean+balancedMargin || len(a.handoffs) >= maxBalanceHandoffs {
 			break
 		}
-		part := bucketUtilization(b, total, receivers[0].giverUtilization)
+		part := offered * b.load / total
 		to := leastUtilized(receivers)
 		if mean-to.utilization < part*minFit || a.rowCount(to.owner) >= maxRowsPerOwner || a.rowCount(a.selfOwner()) >= maxRowsPerOwner {
 			continue
 		}
 		a.addHandoff(b.row, b.Span, to.owner)
 		to.utilization += part
-		utilization -= part
+		offered -= part
 		added = true
 	}
 	return added
@@ -203,31 +209,81 @@
 // bucket is a range of keys with its load.
 type bucket struct {
 	Span
-	row  Row // the row that contains the bucket
+	row  Row // the row that contains the range
 	load float64
 }
 
-// hotBuckets returns the buckets of the rows of this daemon, busiest first, and
-// their total load.
-func (a *Agent) hotBuckets() (hot []bucket, total float64) {
+// maxHotRange is the maximum length of a range of hotRanges, in keys. The keys of a longer
+// one are hardly busy at the same time.
+const maxHotRange = 64
+
+// hotRanges divides the rows of this daemon into ranges of whole buckets that have at most
+// the given load, unless a bucket alone has more, and returns those with any load, busiest
+// first.
+func (a *Agent) hotRanges(maxLoad float64) []bucket {
+	var hot []bucket
 	for _, r := range a.table.Rows {
 		if r.Owner != a.selfOwner() {
 			continue
 		}
+		current := bucket{row: r}
+		flush := func() {
+			if current.load > 0 {
+				hot = append(hot, current)
+			}
+			current = bucket{row: r}
+		}
 		for b := int(r.From) >> bucketBits; b <= int(r.To)>>bucketBits; b++ {
-			s := Span{Key(b << bucketBits), Key(b<<bucketBits | (1<<bucketBits - 1))}.intersect(r.Span)
-			if l := a.load.sumOver(s); l > 0 {
-				hot = append(hot, bucket{s, r, l})
-				total += l
+			l := a.load.sumOver(bucketSpan(b).intersect(r.Span))
+			if current.load > 0 && (current.load+l > maxLoad || current.Len() >= maxHotRange) {
+				flush()
+			}
+			switch s := bucketSpan(b).intersect(r.Span); {
+			case current.load > 0:
+				current.To = s.To
+			case l > 0:
+				current.Span = s
 			}
+			current.load += l
+		}
+		flush()
+	}
+	slices.SortStableFunc(hot, func(x, y bucket) int { return cmp.Compare(y.load, x.load) })
+	return hot
+}
+
+// bucketSpan returns the keys of a bucket.
+func bucketSpan(b int) Span {
+	return Span{Key(b << bucketBits), Key(b<<bucketBits | (1<<bucketBits - 1))}
+}
+
+// ownLoad returns the load of the rows of this daemon.
+func (a *Agent) ownLoad() float64 {
+	var sum float64
+	for _, r := range a.table.Rows {
+		if r.Owner == a.selfOwner() {
+			sum += a.load.sumOver(r.Span)
 		}
 	}
-	slices.SortFunc(hot, func(x, y bucket) int { return cmp.Compare(y.load, x.load) })
-	return hot, total
+	return sum
 }
 
-// bucketUtilization returns the part of a server's utilization that a bucket
-// accounts for.
-func bucketUtilization(b bucket, total, utilization float64) float64 {
-	return utilization * b.load / total
+// readyCount returns the number of servers that take new work, at least one.
+func readyCount(cs []Candidate) int {
+	n := 0
+	for _, c := range cs {
+		if c.Ready && c.Alive {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// ownSlots returns the slots of the server of this daemon.
+func (a *Agent) ownSlots(cs []Candidate) int {
+	i := slices.IndexFunc(cs, func(c Candidate) bool { return c.Owner == a.selfOwner() })
+	if i < 0 {
+		return 1
+	}
+	return cs[i].Slots
 }
--- a/internal/core/keyrange/balance_test.go
+++ b/internal/core/keyrange/balance_test.go
@@ -36,9 +36,9 @@
 	cs := []Candidate{candidate(owners[0]), candidate(owners[1]), candidate(owners[2]), candidate(owners[3])}
 	cs[0].Utilization, cs[1].Utilization, cs[2].Utilization, cs[3].Utilization = 1.6, 0.1, 0.2, 0.3
 
-	assert.Assert(t, agent.handOffHotBuckets(cs))
+	assert.Assert(t, agent.handOffHotRanges(cs))
 	receivers := map[ident.Host]float64{}
-	_, total := agent.hotBuckets()
+	total := agent.ownLoad()
 	for _, g := range agent.handoffs {
 		receivers[g.to.Member.Host] += 1.6 * agent.load.sumOver(g.Span) / total
 	}
@@ -61,7 +61,7 @@
 	hotNeighbours(agent, 100, 60)
 	cs := []Candidate{candidate(a), candidate(b)}
 	cs[0].Utilization = 0.8
-	assert.Assert(t, !agent.handOffHotBuckets(cs))
+	assert.Assert(t, !agent.handOffHotRanges(cs))
 	assert.Equal(t, len(agent.handoffs), 0)
 }
 
@@ -77,7 +77,7 @@
 	cs[0].Utilization = 3
 	for round := range 100 {
 		hotNeighbours(agent, Key(round*640), 200)
-		agent.handOffHotBuckets(cs)
+		agent.handOffHotRanges(cs)
 		table := agent.table
 		for _, g := range agent.handoffs {
 			table = table.withRow(Row{Span: g.Span, Owner: g.to, Fence: uint64(round) + 2, TransferToken: "0123456789abcdef"})
@@ -101,9 +101,9 @@
 	hotNeighbours(agent, 100, 60)
 	cs := []Candidate{candidate(a), candidate(b)}
 	cs[0].Utilization, cs[1].Utilization = 5, 2
-	assert.Assert(t, !agent.handOffHotBuckets(cs))
+	assert.Assert(t, !agent.handOffHotRanges(cs))
 	cs[1].Utilization = 1.2 // a short queue
-	assert.Assert(t, agent.handOffHotBuckets(cs))
+	assert.Assert(t, agent.handOffHotRanges(cs))
 }
 
 // Load pattern: 53 servers hand keys off at the same time, and each write replaces the
@@ -124,3 +124,42 @@
 	slices.Sort(delays)
 	assert.Assert(t, delays[writers*3/4]-delays[writers/4] > refusalStep<<(maxRefusalDoubling-2), "%v", delays)
 }
+
+// Load pattern: 60 neighbouring keys of one owner get as many requests as 15 servers of 35
+// can run. What the owner served is a fraction of that, so that only the refused requests
+// show it. One round of handoffs leaves no server with more than it can run.
+func TestRefusedLoadOfHotKeysIsSpreadAtOnce(t *testing.T) {
+	const servers, hotKeys, offeredSlots = 35, 60, 90.0
+	now := ident.Instant(time.Hour)
+	self := owner("h00")
+	agent := NewAgent(testConfig(), self.Member, now)
+	agent.ApplyRead(Table{Rows: []Row{{Span: Span{0, 1999}, Owner: self, Fence: 1}}}, 1, now, now)
+	agent.HandleHeartbeat(Heartbeat{Instance: self.Instance, Sequence: 1}, now)
+	var cs []Candidate
+	for i := range servers {
+		c := candidate(owner(fmt.Sprintf("h%02d", i)))
+		c.Slots, c.Utilization = 6, 0.4
+		cs = append(cs, c)
+	}
+	cs[0].Utilization = 1.5 // what runs and waits there
+	for i := range hotKeys {
+		served, refused := 0.1, 0.9
+		seconds := offeredSlots / hotKeys * sumWindow.Seconds()
+		for _, part := range []float64{served, refused} {
+			agent.RecordServiceTime(Key(1000+i), time.Duration(part*seconds*float64(time.Second)))
+		}
+	}
+
+	assert.Assert(t, agent.handOffHotRanges(cs))
+	total, left := agent.ownLoad(), 1.0
+	given := map[ident.Host]float64{}
+	for _, g := range agent.handoffs {
+		part := agent.load.sumOver(g.Span) / total
+		given[g.to.Member.Host] += part * offeredSlots / 6
+		left -= part
+	}
+	for h, use := range given {
+		assert.Assert(t, 0.4+use < 1.5, "%s is given %.2f times its slots", h, use)
+	}
+	assert.Assert(t, left*offeredSlots/6 < 2, "the owner keeps %.2f times its slots", left*offeredSlots/6)
+}
--- a/internal/core/keyrange/limited_test.go
+++ b/internal/core/keyrange/limited_test.go
@@ -64,7 +64,7 @@
 	cs[2].Limited = true
 	assert.Assert(t, !a.shareSurplus(cs))
 	cs[0].Utilization, cs[1].Utilization = 3, 3
-	assert.Assert(t, !a.handOffHotBuckets(cs))
+	assert.Assert(t, !a.handOffHotRanges(cs))
 	to, ok := a.leastLoaded(cs)
 	assert.Assert(t, ok)
 	assert.Equal(t, to.Owner, owners[1])
--- a/internal/sidecar/executor.go
+++ b/internal/sidecar/executor.go
@@ -102,6 +102,7 @@
 		Class: admission.Class(r.Route), Deadline: r.Deadline, Target: r.TargetTime, Priority: r.Priority,
 	})
 	if err != nil {
+		x.recordRefusedLoad(r, err)
 		return hop.FailedAnswer(admissionError(ctx, err)), true
 	}
 	if e := x.checkAllowed(r); e != nil { // the state may have changed while the request waited
@@ -117,6 +118,14 @@
 	return x.runAdmitted(ctx, r, run, release), true
 }
 
+// recordRefusedLoad adds a request that got no slot to the load of its key.
+func (x *executor) recordRefusedLoad(r *hop.Request, err error) {
+	var e *errkind.Error
+	if r.Key != hop.NoKey && errors.As(err, &e) && e.Kind == errkind.Overloaded {
+		x.ownership.recordServiceTime(r.Service, keyrange.Key(r.Key), x.gate.MeanServiceTime(admission.Class(r.Route)))
+	}
+}
+
 // runAdmitted sends an admitted request to the server. It calls release with the service
 // time, or with zero if the server did not answer.
 func (x *executor) runAdmitted(ctx context.Context, r *hop.Request, run quarantine.Run, release func(time.Duration)) *hop.Answer {
