--- a/internal/core/keyrange/balance.go
+++ b/internal/core/keyrange/balance.go
@@ -50,7 +50,7 @@
 		fair := float64(int(MaxKey)+1) * float64(c.Slots) / float64(slots)
 		keys := a.table.KeyCount(c.Owner.Member.Host)
 		switch {
-		case c.Limited || c.Cold && float64(keys) < fewKeysFactor*fair:
+		case c.Limited:
 		case float64(keys) < fewKeysFactor*fair:
 			receivers = append(receivers, c)
 		case float64(keys) > surplusKeysFactor*fair:
@@ -101,7 +101,7 @@
 
 // maxBalanceHandoffs bounds the ranges that one call of handOffHotRanges hands
 // off: they move at the same time, and each may split a row.
-const maxBalanceHandoffs = 16
+const maxBalanceHandoffs = 32
 
 // maxRowsPerOwner bounds the rows of one owner: with their fencing tokens and
 // transfer tokens they fit into the 4 KiB that a backend server reads of the
@@ -173,7 +173,7 @@
 		}
 	}
 	for _, c := range cs {
-		if c.Ready && c.Alive && !c.Limited && !c.Cold && c.Owner != a.selfOwner() && c.Utilization <= receiverFactor*utilization && c.Utilization < maxReceiverLoad {
+		if c.Ready && c.Alive && !c.Limited && c.Owner != a.selfOwner() && c.Utilization <= receiverFactor*utilization && c.Utilization < maxReceiverLoad {
 			to = append(to, &receiver{owner: c.Owner, utilization: c.Utilization, giverUtilization: utilization, slots: c.Slots})
 		}
 	}
--- a/internal/core/keyrange/balance_test.go
+++ b/internal/core/keyrange/balance_test.go
@@ -124,3 +124,42 @@
 	slices.Sort(delays)
 	assert.Assert(t, delays[writers*3/4]-delays[writers/4] > refusalStep<<(maxRefusalDoubling-2), "%v", delays)
 }
+
+// Load pattern: 60 neighbouring keys of one owner get as many requests as 15 servers of 35
+// can run. What the owner served is a fraction of that, so that only the refused requests
+// show it. One round of handoffs leaves no server with more than it can run.
+func TestRefusedLoadOfHotKeysIsSpreadAtOnce(t *testing.T) {
+	const servers, hotKeys, offeredSlots = 35, 60, 90.0
+	now := ident.Instant(time.Hour)
+	self := owner("h00")
+	agent := NewAgent(testConfig(), self.Member, now)
+	agent.ApplyRead(Table{Rows: []Row{{Span: Span{0, 1999}, Owner: self, Fence: 1}}}, 1, now, now)
+	agent.HandleHeartbeat(Heartbeat{Instance: self.Instance, Sequence: 1}, now)
+	var cs []Candidate
+	for i := range servers {
+		c := candidate(owner(fmt.Sprintf("h%02d", i)))
+		c.Slots, c.Utilization = 6, 0.4
+		cs = append(cs, c)
+	}
+	cs[0].Utilization = 1.5 // what runs and waits there
+	for i := range hotKeys {
+		served, refused := 0.1, 0.9
+		seconds := offeredSlots / hotKeys * sumWindow.Seconds()
+		for _, part := range []float64{served, refused} {
+			agent.RecordServiceTime(Key(1000+i), time.Duration(part*seconds*float64(time.Second)))
+		}
+	}
+
+	assert.Assert(t, agent.handOffHotRanges(cs))
+	total, left := agent.ownLoad(), 1.0
+	given := map[ident.Host]float64{}
+	for _, g := range agent.handoffs {
+		part := agent.load.sumOver(g.Span) / total
+		given[g.to.Member.Host] += part * offeredSlots / 6
+		left -= part
+	}
+	for h, use := range given {
+		assert.Assert(t, 0.4+use < 1.5, "%s is given %.2f times its slots", h, use)
+	}
+	assert.Assert(t, left*offeredSlots/6 < 2, "the owner keeps %.2f times its slots", left*offeredSlots/6)
+}
--- a/internal/core/keyrange/cold_test.go
+++ b/internal/core/keyrange/cold_test.go
@@ -42,7 +42,7 @@
 		a.shareSurplus(cs)
 		assert.Equal(t, receives(a, cs[cold].Owner), !isCold, "as one with few keys")
 		a, cs = setUp(isCold)
-		a.handOffHotBuckets(cs)
+		a.handOffHotRanges(cs)
 		assert.Equal(t, receives(a, cs[cold].Owner), !isCold, "as one with few requests")
 		a, cs = setUp(isCold)
 		cs[2].Limited, cs[2].LimitUse = true, 2
--- a/internal/core/keyrange/load.go
+++ b/internal/core/keyrange/load.go
@@ -6,7 +6,7 @@
 // at the same time usually lie close together. A bucket is small, so that a hot set of a
 // few hundred keys can be divided among many servers.
 const (
-	bucketBits = 2 // a bucket has 1 << bucketBits keys
+	bucketBits = 1 // a bucket has 1 << bucketBits keys
 	buckets    = 1 << (16 - bucketBits)
 )
 
--- a/internal/sidecar/chains_test.go
+++ b/internal/sidecar/chains_test.go
@@ -19,8 +19,8 @@
 func (sentOnly) ChooseTarget(*hop.Request, []ident.Host) (edge.Target, bool, *errkind.Error) {
 	return edge.Target{}, true, nil
 }
-func (sentOnly) RecordSent(edge.Target, *hop.Request)                {}
-func (sentOnly) RecordAnswer(edge.Target, *hop.Request, *hop.Answer) {}
+func (sentOnly) RecordSent(edge.Target, *hop.Request)                               {}
+func (sentOnly) RecordAnswer(edge.Target, *hop.Request, *hop.Answer, time.Duration) {}
 
 // Requests whose calls fail were run one after the other; now one is refused as not run, at
 // once, and not sent to all other servers in turn, whose calls have no room either.
@@ -42,7 +42,7 @@
 		target, _, _ := choose.ChooseTarget(call, nil)
 		choose.RecordSent(target, call)
 		clock.now = clock.now.Add(20 * time.Millisecond)
-		choose.RecordAnswer(target, call, hop.FailedAnswer(errkind.New(errkind.Overloaded, "no room")))
+		choose.RecordAnswer(target, call, hop.FailedAnswer(errkind.New(errkind.Overloaded, "no room")), 20*time.Millisecond)
 		end(&hop.Answer{Status: 500})
 	}
 	assert.Assert(t, refused != nil)
