keyrange: the merge kept cold servers out of balance's receivers again

Cause: the conflict with the buckets of hot keys was resolved to one side.

Change: both conditions stand; TestColdServerReceivesNoKeysForBalance failed on the merge.

--- a/internal/core/keyrange/balance.go
+++ b/internal/core/keyrange/balance.go
@@ -50,7 +50,7 @@
 		fair := float64(int(MaxKey)+1) * float64(c.Slots) / float64(slots)
 		keys := a.table.KeyCount(c.Owner.Member.Host)
 		switch {
-		case c.Limited:
+		case c.Limited || c.Cold && float64(keys) < fewKeysFactor*fair:
 		case float64(keys) < fewKeysFactor*fair:
 			receivers = append(receivers, c)
 		case float64(keys) > surplusKeysFactor*fair:
@@ -173,7 +173,7 @@
 		}
 	}
 	for _, c := range cs {
-		if c.Ready && c.Alive && !c.Limited && c.Owner != a.selfOwner() && c.Utilization <= receiverFactor*utilization && c.Utilization < maxReceiverLoad {
+		if c.Ready && c.Alive && !c.Limited && !c.Cold && c.Owner != a.selfOwner() && c.Utilization <= receiverFactor*utilization && c.Utilization < maxReceiverLoad {
 			to = append(to, &receiver{owner: c.Owner, utilization: c.Utilization, giverUtilization: utilization, slots: c.Slots})
 		}
 	}
