sidecar, keyrange: an operator evacuates a failure domain by a record in the store

Change: daemons read the orders with the configuration, tell each other, choose no server there from the first moment on, and the daemon beside such a server refuses what arrives all the same: pooled requests from 1 s on, those for keys from 3 s on, of the 5 s of evacuation.apply_time. Owners there divide their load among the others in proportion to their room. A store that came back from a copy ends no evacuation. Servers that are taken back count as cold until a heartbeat says otherwise. Bad records change nothing.

--- /dev/null
+++ b/internal/core/evacuation/evacuation_test.go
@@ -0,0 +1,61 @@
+package evacuation
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+)
+
+type domains = []ident.FailureDomain
+
+// A daemon that was cut off hears of orders late, twice and from several others. The newest
+// must win whatever the order of arrival, and one must not undo another.
+func TestNewestOrderWins(t *testing.T) {
+	var tr Tracker
+	assert.DeepEqual(t, tr.Read(domains{"a"}, 5, 10), Change{Began: domains{"a"}})
+	assert.DeepEqual(t, tr.Record("b", true, 5, 20), Change{Began: domains{"b"}})
+	assert.Assert(t, tr.Record("a", false, 4, 20).Empty(), "a record from before the read")
+	assert.Assert(t, tr.Merge(State{At: 5}, 30).Empty(), "an older state of another daemon")
+	assert.Assert(t, tr.Merge(State{At: 9, Domains: make(domains, 1)}, 30).Empty(), "a domain without a name")
+	assert.DeepEqual(t, tr.Merge(State{At: 8, Domains: domains{"b", "c"}}, 30), Change{Began: domains{"c"}, Ended: domains{"a"}})
+	since, ok := tr.Since("b")
+	assert.Assert(t, ok && since == 20)
+	assert.Assert(t, tr.Record("a", true, 6, 40).Empty(), "the poll catches up with what the other daemon told")
+	assert.DeepEqual(t, tr.Record("b", false, 8, 40), Change{Ended: domains{"b"}})
+	s, _ := tr.State()
+	assert.DeepEqual(t, s, State{At: 9, Domains: domains{"c"}})
+}
+
+// The store comes back from a copy that lacks the order. The operator was told that it is in
+// force, so that it stays until it is taken back, also where daemons that have read the copy
+// alone tell of none.
+func TestRestoredStoreEndsNoEvacuation(t *testing.T) {
+	var tr Tracker
+	tr.Read(domains{"a", "b"}, 9, 0)
+	restored := ident.OffsetIn(1, 4)
+	assert.Assert(t, tr.Read(domains{"b"}, restored, 0).Empty())
+	assert.Assert(t, tr.Merge(State{At: restored}, 0).Empty())
+	var fresh Tracker
+	fresh.Read(domains{"b"}, restored, 0)
+	s, ok := tr.State()
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, fresh.Merge(s, 0), Change{Began: domains{"a"}})
+	var told Tracker
+	told.Merge(s, 0)
+	assert.Assert(t, told.Read(domains{"b"}, restored, 0).Empty(), "told before it read the store")
+	assert.DeepEqual(t, tr.Record("a", false, restored, 0), Change{Ended: domains{"a"}})
+}
+
+// Keys move in about three heartbeats of their servers, so that a server serves those that it
+// still holds a while longer; in the last fifth of the time nothing may reach it.
+func TestRequestsEndBeforeTheBound(t *testing.T) {
+	const applyTime = 5 * time.Second
+	at := func(d time.Duration) ident.Instant { return ident.Instant(time.Hour).Add(d) }
+	assert.Assert(t, !Refuses(false, at(0), at(300*time.Millisecond), applyTime))
+	assert.Assert(t, Refuses(false, at(0), at(1100*time.Millisecond), applyTime))
+	assert.Assert(t, !Refuses(true, at(0), at(2500*time.Millisecond), applyTime))
+	assert.Assert(t, Refuses(true, at(0), at(applyTime*4/5), applyTime))
+}
--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -32,6 +32,7 @@
 type Candidate struct {
 	Owner       Owner
 	Ready       bool    // accepts new requests, and its daemon reads the table without delay
+	Evacuated   bool    // its failure domain is evacuated: it receives no keys and gives away those it has
 	Alive       bool    // its daemon sent a sign of life recently
 	Expected    bool    // its host is listed for the service
 	Slots       int     // number of requests that the server runs at once
@@ -72,6 +73,7 @@
 	instance        roster.Instance // the server's current instance; zero before its first heartbeat
 	ready           bool
 	draining        bool
+	evacuated       bool            // the failure domain here is evacuated
 	serverLost      bool            // the server is unreachable or has signed off
 	heartbeatAt     ident.Instant   // when the last heartbeat was accepted
 	lastSequence    int64           // sequence number of the last heartbeat
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -16,6 +16,7 @@
 		return nil
 	}
 	slices.SortFunc(cs, func(x, y Candidate) int { return cmp.Compare(x.Owner.Member.Host, y.Owner.Member.Host) })
+	cs = a.withoutEvacuated(cs)
 	if a.reopen.due {
 		return a.send(a.reopenTable(now, cs))
 	}
@@ -109,7 +110,7 @@
 // handOffAll plans handoffs of all rows of this daemon if the server is draining
 // or gone.
 func (a *Agent) handOffAll(now ident.Instant, cs []Candidate) {
-	if a.keepsServing(now) {
+	if a.keepsServing(now) || a.spreadRows(cs) {
 		return
 	}
 	for _, r := range a.table.Rows {
@@ -125,9 +126,9 @@
 }
 
 // keepsServing reports whether the server continues to hold keys: it is not
-// draining, and its heartbeats arrive.
+// draining, its failure domain is not evacuated, and its heartbeats arrive.
 func (a *Agent) keepsServing(now ident.Instant) bool {
-	if a.draining || a.serverLost {
+	if a.draining || a.serverLost || a.evacuated {
 		return false
 	}
 	return now.Sub(max(a.heartbeatAt, a.startedAt)) <= a.cfg.withDrift(a.cfg.MaxHold)
@@ -163,7 +164,10 @@
 		return nil
 	}
 	reason := "balance"
-	if !a.keepsServing(now) {
+	switch {
+	case a.evacuated:
+		reason = "evacuated"
+	case !a.keepsServing(now):
 		reason = "server_leaves"
 	}
 	return &Write{Table: t, Reason: reason}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -13,16 +13,17 @@
 // everything else through the platform's store. It has no tenant keys, no TLS and no
 // administration address.
 type Sidecar struct {
-	Host      Host             `yaml:"host"`
-	Service   ident.Service    `yaml:"service"` // of the backend server on this host
-	Listen    SidecarAddresses `yaml:"listen"`
-	Store     Store            `yaml:"store"`
-	Ownership Ownership        `yaml:"ownership"`
-	Retries   Retries          `yaml:"retries"`
-	Drain     Drain            `yaml:"drain"`
-	Cold      Cold             `yaml:"cold"`
-	Resources Resources        `yaml:"resources"`
-	Telemetry Telemetry        `yaml:"telemetry"`
+	Host       Host             `yaml:"host"`
+	Service    ident.Service    `yaml:"service"` // of the backend server on this host
+	Listen     SidecarAddresses `yaml:"listen"`
+	Store      Store            `yaml:"store"`
+	Ownership  Ownership        `yaml:"ownership"`
+	Retries    Retries          `yaml:"retries"`
+	Drain      Drain            `yaml:"drain"`
+	Cold       Cold             `yaml:"cold"`
+	Evacuation Evacuation       `yaml:"evacuation"`
+	Resources  Resources        `yaml:"resources"`
+	Telemetry  Telemetry        `yaml:"telemetry"`
 }
 
 // SidecarAddresses holds the listen addresses of a sidecar daemon as host:port.
@@ -81,6 +82,11 @@
 	Slack  float64 `yaml:"slack"` // requests
 }
 
+// Evacuation bounds how long the evacuation of a failure domain takes.
+type Evacuation struct {
+	ApplyTime time.Duration `yaml:"apply_time"` // from the order to the last request that reaches a server there
+}
+
 // Resources are what the host grants to the daemon's process. Zero means unknown.
 type Resources struct {
 	MemoryMB int     `yaml:"memory_mb"` // the process is killed above it
@@ -109,10 +115,11 @@
 			BalanceEvery:  time.Second,
 			BalanceRest:   2500 * time.Millisecond, // the duration of a move, and as long again to observe its effect
 		},
-		Retries:   Retries{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
-		Drain:     Drain{ServerTime: 2500 * time.Millisecond, GraceTime: 6 * time.Second},
-		Cold:      Cold{Factor: 1},
-		Telemetry: Telemetry{LogLevel: "info", TraceExporter: TraceNone, TraceRatio: 0.01, Metrics: true},
+		Retries:    Retries{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
+		Drain:      Drain{ServerTime: 2500 * time.Millisecond, GraceTime: 6 * time.Second},
+		Cold:       Cold{Factor: 1},
+		Evacuation: Evacuation{ApplyTime: 5 * time.Second},
+		Telemetry:  Telemetry{LogLevel: "info", TraceExporter: TraceNone, TraceRatio: 0.01, Metrics: true},
 	}
 }
 
@@ -154,7 +161,7 @@
 		{"store.poll_time", s.Store.PollTime}, {"store.watch_poll", s.Store.WatchPoll}, {"ownership.lease", o.Lease}, {"ownership.confirm", o.Confirm}, {"ownership.support", o.Support}, {"ownership.lease_poll", o.LeasePoll},
 		{"ownership.hold", o.Hold}, {"ownership.suspect_after", o.SuspectAfter}, {"ownership.settle", o.Settle}, {"ownership.settle_max", o.SettleMax},
 		{"ownership.stagger", o.Stagger}, {"ownership.balance_every", o.BalanceEvery}, {"ownership.balance_rest", o.BalanceRest},
-		{"retries.window", s.Retries.Window}, {"drain.server_time", s.Drain.ServerTime}, {"drain.grace_time", s.Drain.GraceTime},
+		{"retries.window", s.Retries.Window}, {"drain.server_time", s.Drain.ServerTime}, {"drain.grace_time", s.Drain.GraceTime}, {"evacuation.apply_time", s.Evacuation.ApplyTime},
 	} {
 		checkDuration(&p, d.path, d.d)
 	}
--- a/internal/sidecar/coldserver.go
+++ b/internal/sidecar/coldserver.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/burdockfold/burdockfold/internal/core/admission"
@@ -25,6 +27,10 @@
 // holds s.mu.
 func (s *server) updateCold(hb *Heartbeat, sameInstance bool) (begins bool) {
 	now := s.clock.Now()
+	if s.heldAt != 0 && now.Sub(s.heldAt) >= heartbeatDelay {
+		s.heldAt = 0
+		s.coldUntil = max(s.coldUntil, now) // warmed in steps, also if it was never cold
+	}
 	begins = hb.ColdFor > 0 && (!sameInstance || now >= s.coldUntil)
 	switch {
 	case hb.ColdFor > 0:
@@ -39,7 +45,26 @@
 // boundCold makes the gate start no more requests than a cold server of a service tolerates.
 // The caller holds s.mu.
 func (s *server) boundCold(service ident.Service) {
-	s.gate.SetCold(s.coldBound(service), s.coldUntil)
+	until := s.coldUntil
+	if s.heldAt != 0 {
+		until = max(until, s.clock.Now().Add(heldTime))
+	}
+	s.gate.SetCold(s.coldBound(service), until)
+}
+
+// Times after the end of an evacuation.
+const (
+	heartbeatDelay = 200 * time.Millisecond // within which a heartbeat arrives; an earlier one may have been sent before the end
+	heldTime       = time.Hour              // that the server counts as cold without a heartbeat
+)
+
+// holdCold makes the server count as cold until a heartbeat that it sends from now on: after an
+// evacuation it may have become cold without the daemon's knowledge.
+func (s *server) holdCold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heldAt = s.clock.Now()
+	s.boundCold(s.service)
 }
 
 // handleConfig is called when another configuration is in force.
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -39,6 +39,8 @@
 	onChange func(t *routes.Table, source string) // called after a new table is in force
 	log      *zap.Logger
 
+	evacuations *evacuations // the operators' other orders in the same stream
+
 	table atomic.Pointer[routes.Table]
 
 	mu  sync.Mutex // guards raw and serializes changes of table
@@ -106,6 +108,7 @@
 	if err != nil {
 		return 0, err
 	}
+	c.evacuations.applyRead(n)
 	c.applyEntries(n.Entries)
 	return n.Next, nil
 }
@@ -126,6 +129,7 @@
 	default:
 		return from, err
 	}
+	c.evacuations.applyChanges(ch, wait > 0)
 	c.applyEntries(ch.Entries)
 	return ch.Next, nil
 }
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -60,7 +60,7 @@
 func TestPollAfterOutageOrHintDoesNotWait(t *testing.T) {
 	const pollTime = 20 * time.Second
 	log := &pollRecorder{fail: make(chan error)}
-	c := &configFollower{store: log, log: zap.NewNop(), pollTime: func() time.Duration { return pollTime }}
+	c := &configFollower{store: log, log: zap.NewNop(), evacuations: newEvacuations("d", time.Second, nil, &manualClock{}, zap.NewNop()), pollTime: func() time.Duration { return pollTime }}
 	c.table.Store(routes.NewTable(routes.Config{Version: 1}))
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -110,7 +110,8 @@
 func TestHintsInQuickSuccessionDoNotStopPolls(t *testing.T) {
 	log := &versionLog{answerTime: 60 * time.Millisecond}
 	c := &configFollower{
-		store: log, log: zap.NewNop(), pollTime: func() time.Duration { return time.Second }, onChange: func(*routes.Table, string) {},
+		evacuations: newEvacuations("d", time.Second, nil, &manualClock{}, zap.NewNop()),
+		store:       log, log: zap.NewNop(), pollTime: func() time.Duration { return time.Second }, onChange: func(*routes.Table, string) {},
 		decode: func(raw []byte) (routes.Config, error) {
 			v, err := strconv.Atoi(string(raw))
 			return routes.Config{Version: routes.Version(v)}, err
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"github.com/burdockfold/burdockfold/internal/core/evacuation"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
@@ -22,6 +23,7 @@
 	typeRelayedEntries = "e"
 	typeMemberStates   = "m"
 	typeSuspects       = "q"
+	typeEvacuation     = "u"
 )
 
 // hello carries the roster entry of the sender. WantReply asks the receiver to answer
@@ -75,6 +77,12 @@
 	Version uint64 `codec:"v"`
 }
 
+// evacuationNotice tells which failure domains are evacuated, as the sender knows it.
+type evacuationNotice struct {
+	State evacuation.State `codec:"s"`
+	AgeMS int64            `codec:"a"` // time for which the oldest of the orders counts at the sender, in milliseconds
+}
+
 // departureNotice tells a daemon that was restarted that the server beside it leaves.
 type departureNotice struct {
 	Instance roster.Instance `codec:"i"`
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -32,6 +32,7 @@
 	calls       metric.Int64Counter
 	crashes     metric.Int64Counter
 	quarantined metric.Int64Counter
+	evacuated   metric.Int64Counter
 }
 
 // latencyBounds are the bucket bounds of the latency histograms in seconds. They range
@@ -39,8 +40,9 @@
 var latencyBounds = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12}
 
 // newMetrics creates the instruments. gate returns the current use of the slots, limit
-// the requests per second that the backend server accepts, zero if it states no limit.
-func newMetrics(m metric.Meter, gate func() (running, waiting int), limit func() float64) (*metrics, error) {
+// the requests per second that the backend server accepts, zero if it states no limit;
+// evacuated the number of evacuated failure domains.
+func newMetrics(m metric.Meter, gate func() (running, waiting int), limit func() float64, evacuated func() int) (*metrics, error) {
 	var out metrics
 	var errs []error
 	counter := func(name, description string) metric.Int64Counter {
@@ -66,6 +68,7 @@
 	out.writes = counter("burdock_ownership_writes", "changes of the ownership table by reason and outcome")
 	out.crashes = counter("burdock_server_crashes", "ends of the backend server here while it worked on requests")
 	out.quarantined = counter("burdock_quarantined", "requests that are refused from now on because servers ended under them, by source")
+	out.evacuated = counter("burdock_evacuation_refused", "requests that were refused because the failure domain here is evacuated")
 	out.calls = counter("burdock_store_calls", "calls to the log service by kind and outcome")
 	_, err := m.Int64ObservableGauge("burdock_slots_in_use", metric.WithDescription("requests that run on the backend server, and that wait"),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
@@ -79,7 +82,12 @@
 			o.Observe(limit())
 			return nil
 		}))
-	if err := errors.Join(append(errs, err, limitErr)...); err != nil {
+	_, evacuatedErr := m.Int64ObservableGauge("burdock_evacuated_domains", metric.WithDescription("failure domains that are evacuated"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(evacuated()))
+			return nil
+		}))
+	if err := errors.Join(append(errs, err, limitErr, evacuatedErr)...); err != nil {
 		return nil, fmt.Errorf("sidecar: metrics: %w", err)
 	}
 	return &out, nil
@@ -113,6 +121,12 @@
 	}
 }
 
+func (m *metrics) countEvacuated() {
+	if m != nil {
+		count(m.evacuated)
+	}
+}
+
 func (m *metrics) countServerRequest(sent bool) {
 	if m != nil && sent {
 		count(m.received)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -41,6 +41,7 @@
 	ownership      *ownership
 	configs        *configFollower
 	suspects       *suspects
+	evacuations    *evacuations
 	log            *zap.Logger
 	helloRequested chan struct{} // signals that a hello to all daemons is due; capacity 1
 
@@ -121,6 +122,8 @@
 			p.relayEntries()
 			p.sendConsents()
 			p.requestConfig()
+			p.repeatEvacuation()
+			p.checkEvacuated()
 			p.suspects.deleteOld(p.daemonCount())
 		}
 	}
@@ -230,6 +233,8 @@
 		err = decodeThen(m.Data, func(r suspectReport) { p.handleSuspects(from, r) })
 	case typeDeparture:
 		err = decodeThen(m.Data, func(n departureNotice) { p.handleDepartureNotice(n) })
+	case typeEvacuation:
+		err = decodeThen(m.Data, func(n evacuationNotice) { p.evacuations.merge(n, from) })
 	case typeVersionHint:
 		err = decodeThen(m.Data, func(h versionHint) { p.handleVersionHint(from, h) })
 	}
@@ -271,6 +276,9 @@
 	if h.WantReply || !known || old.Member != e.Member {
 		p.send(e, typeHello, hello{Entry: p.ownEntry()})
 	}
+	if h.WantConfig {
+		p.sendEvacuation(func(q *roster.Peer) bool { return q.Member.Host == e.Member.Host })
+	}
 	if doc := p.configs.configDocument(); h.WantConfig && doc != nil && e.ConfigVersion < uint64(p.configs.Version()) {
 		p.send(e, typeConfig, configDocument{Config: doc})
 	}
@@ -302,6 +310,7 @@
 		}
 		c := keyrange.Candidate{
 			Owner:       keyrange.Owner{Member: q.Member, Instance: q.Server.Instance},
+			Evacuated:   p.evacuations.covers(q.Location.FailureDomain),
 			Ready:       q.Server.Service == s && q.Server.State == roster.Ready && !q.Leaving && (q.LogCurrent || q.Member == p.self),
 			Alive:       p.isAlive(q, direct, now),
 			Expected:    q.Server.Service == s,
@@ -346,7 +355,7 @@
 	defer p.mu.Unlock()
 	var out []roster.Peer
 	p.roster.Each(func(q *roster.Peer) {
-		if q.Server.Service == s && q.Server.State == roster.Ready && (!q.Leaving || q.Member == p.self) && !slices.Contains(tried, q.Member.Host) {
+		if q.Server.Service == s && q.Server.State == roster.Ready && (!q.Leaving || q.Member == p.self) && !slices.Contains(tried, q.Member.Host) && !p.evacuations.covers(q.Location.FailureDomain) {
 			out = append(out, *q)
 		}
 	})
--- a/internal/sidecar/ports.go
+++ b/internal/sidecar/ports.go
@@ -15,10 +15,15 @@
 
 // Adapter adapts the daemon to the platform that it is deployed on.
 type Adapter struct {
-	HeaderNames      hop.HeaderNames
-	Log              logservice.KeyedLog // the store of configurations, hosts and ownership tables
-	Grants           GrantCaller         // grants keys to servers that do not receive them with the answers to heartbeats
-	DecodeConfig     func(data []byte) (routes.Config, error)
+	HeaderNames  hop.HeaderNames
+	Log          logservice.KeyedLog // the store of configurations, hosts and ownership tables
+	Grants       GrantCaller         // grants keys to servers that do not receive them with the answers to heartbeats
+	DecodeConfig func(data []byte) (routes.Config, error)
+
+	// DecodeEvacuation decodes a record of the operators' stream that evacuates a failure
+	// domain or takes it back; ok is false if the record concerns no evacuation.
+	DecodeEvacuation func(key string, value []byte) (d ident.FailureDomain, evacuate, ok bool, err error)
+
 	HeartbeatHandler func(ServerPort) fasthttp.RequestHandler        // receives the backend server's messages
 	ReadinessHandler func(ready func() bool) fasthttp.RequestHandler // answers readiness probes
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -57,6 +57,7 @@
 	departed      roster.Departure // the last one, also if its instance has sent no heartbeat yet
 	lost          bool             // silent or refused a connection since its last heartbeat
 	coldUntil     ident.Instant    // the server is slow until then; zero if it never was
+	heldAt        ident.Instant    // an evacuation ended then, and no heartbeat sent since has arrived; zero if none
 	lastHeartbeat ident.Instant
 	statements    advisory.Tracker // what the server states in its answers
 	published     float64          // its limit as the other daemons know it
--- a/internal/sidecar/suspectreport.go
+++ b/internal/sidecar/suspectreport.go
@@ -100,6 +100,7 @@
 // now: it may have been started or cut off, and missed reports.
 func (p *peers) handleConnected(m ident.Member) {
 	p.sendDepartureNotice(m.Host)
+	p.sendEvacuation(func(q *roster.Peer) bool { return q.Member.Host == m.Host })
 	report := p.suspects.report()
 	if report.empty() {
 		return
