--- a/internal/core/keyrange/world_test.go
+++ b/internal/core/keyrange/world_test.go
@@ -14,7 +14,7 @@
 
 // The simulation has a store and a few hosts, each with a daemon and a server.
 // Time advances in steps; each step draws which messages arrive, which are lost,
-// and which host is isolated, frozen, killed or drained. After every step no key
+// and which host is isolated, frozen, killed, drained or evacuated. After every step no key
 // may be held by two servers, and no server may have acquired a key with a fencing
 // token that is not greater than that of an earlier holder.
 
@@ -130,6 +130,7 @@
 	sequence              int64
 	nextHeartbeatAt       ident.Instant
 	draining              bool
+	evacuatedUntil        ident.Instant
 	heartbeatsLostUntil   ident.Instant
 	holdings              []holding
 	released              []ReleasedRange
@@ -202,7 +203,7 @@
 			Owner: Owner{ident.Member{Host: h.name, Incarnation: h.incarnation}, instance},
 			Ready: instance.ID != "" && !h.draining && sim.now >= h.heartbeatsLostUntil,
 			Alive: h == from || h.isRunning(sim.now) && sim.reachable(from, h),
-			Slots: 10,
+			Slots: 10, Evacuated: sim.now < h.evacuatedUntil,
 		})
 	}
 	return cs
--- a/internal/sidecar/evacuation_test.go
+++ b/internal/sidecar/evacuation_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"context"
 	"errors"
 	"testing"
 	"time"
@@ -65,28 +64,17 @@
 	clock := &manualClock{now: ident.Instant(time.Hour)}
 	s := newTestServer(clock)
 	s.coldBound = func(ident.Service) admission.ColdBound { return admission.ColdBound{Rate: 10, PerSecond: 20} }
-	noWait, cancel := context.WithCancel(context.Background())
-	cancel()
-	startedIn := func(d time.Duration) (n int) {
-		for end := clock.now.Add(d); clock.now < end; clock.now = clock.now.Add(10 * time.Millisecond) {
-			if release, err := s.gate.Admit(noWait, admission.Arrival{Class: "c", Deadline: clock.now.Add(time.Millisecond)}); err == nil {
-				release(0)
-				n++
-			}
-		}
-		return n
-	}
 	s.HandleHeartbeat(newHeartbeat(1, 1))
 	s.holdCold()
 	clock.now = clock.now.Add(50 * time.Millisecond)
 	s.HandleHeartbeat(newHeartbeat(1, 2)) // sent before the end
-	n := startedIn(time.Second)
+	n := startsIn(s, clock, time.Second)
 	assert.Assert(t, n >= 8 && n <= 12, "%d requests in a second", n)
 	s.HandleHeartbeat(newHeartbeat(1, 3))
-	n = startedIn(250 * time.Millisecond)
+	n = startsIn(s, clock, 250*time.Millisecond)
 	assert.Assert(t, n >= 3 && n <= 8, "%d requests in the first step", n)
 	clock.now = clock.now.Add(time.Second)
-	assert.Equal(t, startedIn(time.Second), 100)
+	assert.Equal(t, startsIn(s, clock, time.Second), 100)
 }
 
 // A daemon that does not know of the evacuation sends a request to a server there. The daemon
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -203,6 +203,19 @@
 	assert.Assert(t, leaving)
 }
 
+// startsIn returns how many of 100 requests a second start without a wait in the next time d.
+func startsIn(s *server, clock *manualClock, d time.Duration) (n int) {
+	noWait, cancel := context.WithCancel(context.Background())
+	cancel()
+	for end := clock.now.Add(d); clock.now < end; clock.now = clock.now.Add(10 * time.Millisecond) {
+		if release, err := s.gate.Admit(noWait, admission.Arrival{Class: "c", Deadline: clock.now.Add(time.Millisecond)}); err == nil {
+			release(0)
+			n++
+		}
+	}
+	return n
+}
+
 // A server that becomes cold again while it runs got all requests that its slots could take:
 // nothing but a restart counted. The other daemons must learn of it, too.
 func TestServerThatBecomesColdIsBounded(t *testing.T) {
@@ -211,17 +224,7 @@
 	s.coldBound = func(ident.Service) admission.ColdBound { return admission.ColdBound{Rate: 10, PerSecond: 20} }
 	told := 0
 	s.onChange = func() { told++ }
-	noWait, cancel := context.WithCancel(context.Background())
-	cancel()
-	startedIn := func(d time.Duration) (n int) {
-		for end := clock.now.Add(d); clock.now < end; clock.now = clock.now.Add(10 * time.Millisecond) {
-			if release, err := s.gate.Admit(noWait, admission.Arrival{Class: "c", Deadline: clock.now.Add(time.Millisecond)}); err == nil {
-				release(0)
-				n++
-			}
-		}
-		return n
-	}
+	startedIn := func(d time.Duration) int { return startsIn(s, clock, d) }
 	s.HandleHeartbeat(newHeartbeat(1, 1))
 	assert.Equal(t, startedIn(time.Second), 100)
 	told = 0
