sidecar: other daemons take a server that is taken back for cold, too

Cause: the daemon beside it did, until a heartbeat; the others gave it keys meanwhile.

Change: its roster entry says so, and a new one tells the end.

--- a/internal/sidecar/coldserver.go
+++ b/internal/sidecar/coldserver.go
@@ -22,24 +22,28 @@
 	return admission.ColdBound{Rate: rate, PerSecond: rate*c.Factor + c.Slack}
 }
 
-// updateCold takes the cold time from a heartbeat, and reports whether the server has become
-// cold. A heartbeat without one leaves the end as an earlier heartbeat stated it. The caller
+// updateCold takes the cold time from a heartbeat, and reports whether other daemons must learn
+// of it: the server has become cold, or is no longer held for cold. A heartbeat without one leaves the end as an earlier heartbeat stated it. The caller
 // holds s.mu.
-func (s *server) updateCold(hb *Heartbeat, sameInstance bool) (begins bool) {
+func (s *server) updateCold(hb *Heartbeat, sameInstance bool) (changed bool) {
 	now := s.clock.Now()
 	if s.heldAt != 0 && now.Sub(s.heldAt) >= heartbeatDelay {
 		s.heldAt = 0
 		s.coldUntil = max(s.coldUntil, now) // warmed in steps, also if it was never cold
+		changed = true
 	}
-	begins = hb.ColdFor > 0 && (!sameInstance || now >= s.coldUntil)
 	switch {
 	case hb.ColdFor > 0:
+		if !sameInstance || now >= s.coldUntil {
+			s.logCold(hb)
+			changed = true
+		}
 		s.coldUntil = now.Add(hb.ColdFor)
 	case !sameInstance:
 		s.coldUntil = 0
 	}
 	s.boundCold(hb.Service)
-	return begins
+	return changed
 }
 
 // boundCold makes the gate start no more requests than a cold server of a service tolerates.
@@ -56,15 +60,17 @@
 const (
 	heartbeatDelay = 200 * time.Millisecond // within which a heartbeat arrives; an earlier one may have been sent before the end
 	heldTime       = time.Hour              // that the server counts as cold without a heartbeat
+	heldColdTime   = 3 * time.Second        // that other daemons are told meanwhile: some heartbeats, after which the server counts as lost
 )
 
 // holdCold makes the server count as cold until a heartbeat that it sends from now on: after an
 // evacuation it may have become cold without the daemon's knowledge.
 func (s *server) holdCold() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.heldAt = s.clock.Now()
 	s.boundCold(s.service)
+	s.mu.Unlock()
+	s.onChange()
 }
 
 // handleConfig is called when another configuration is in force.
--- a/internal/sidecar/evacuation_test.go
+++ b/internal/sidecar/evacuation_test.go
@@ -70,7 +70,9 @@
 	s.HandleHeartbeat(newHeartbeat(1, 2)) // sent before the end
 	n := startsIn(s, clock, time.Second)
 	assert.Assert(t, n >= 8 && n <= 12, "%d requests in a second", n)
+	assert.Assert(t, s.rosterEntry().ColdMS > 0)
 	s.HandleHeartbeat(newHeartbeat(1, 3))
+	assert.Equal(t, s.rosterEntry().ColdMS, int64(0))
 	n = startsIn(s, clock, 250*time.Millisecond)
 	assert.Assert(t, n >= 3 && n <= 8, "%d requests in the first step", n)
 	clock.now = clock.now.Add(time.Second)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -114,10 +114,7 @@
 	}
 	hb.Draining = hb.Draining || s.departed.Covers(hb.Instance) // an acknowledged leave cannot be undone
 	changed = !same || s.lost || wasLeaving != hb.Draining || s.slots != hb.Slots || s.service != hb.Service
-	if s.updateCold(hb, same) {
-		changed = true
-		s.logCold(hb)
-	}
+	changed = s.updateCold(hb, same) || changed
 	if hb.Draining {
 		since := now
 		if s.departed.Covers(hb.Instance) {
@@ -255,7 +252,11 @@
 	default:
 		e.State = roster.Ready
 	}
-	if cold := s.coldUntil.Sub(s.clock.Now()); cold > 0 {
+	cold := s.coldUntil.Sub(s.clock.Now())
+	if s.heldAt != 0 {
+		cold = max(cold, heldColdTime)
+	}
+	if cold > 0 {
 		e.ColdMS = cold.Milliseconds()
 	}
 	return e
