--- a/internal/standin/shardserver/server.go
+++ b/internal/standin/shardserver/server.go
@@ -55,6 +55,7 @@
 	answer      string        // body of the answers; "" for one that names the request
 	cut         *Cut          // answers are broken off; nil for none
 	endless     *Endless      // bytes without end take the place of answers; nil for none
+	calls       Calls         // made while it runs a request; zero for none
 	closed      chan struct{} // closed by Close
 	closeOnce   sync.Once
 }
@@ -304,6 +305,7 @@
 		s.running[execution.Key]++
 	})
 	time.Sleep(serviceTime)
+	whole := s.callSucceeds(execution.ID)
 	s.update(func() { s.running[execution.Key]-- })
 	if s.endIfDeadly(r.URL.Path) {
 		return
@@ -314,6 +316,9 @@
 	}
 	w.Header().Set("X-Server-Signature", "by-"+s.cfg.ID)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if !whole {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = io.WriteString(w, answer)
 }
 
