--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -28,6 +28,7 @@
 	suspects  *suspects
 	clock     ident.Clock
 	routes    func() *routes.Table // the configuration in force, nil before the first
+	metrics   *metrics
 
 	mu        sync.Mutex // guards the fields below
 	estimator *balance.Estimator
@@ -182,9 +183,15 @@
 		c.barRegionOf(t, r)
 	}
 	location := c.locationOf(t)
+	if location.Region != c.peers.location.Region {
+		c.metrics.countRegionBytes(r.Route, location.Region, len(r.Body)+len(a.Body))
+	}
 	c.mu.Lock()
 	if a.Failure == nil && a.ServiceTime > 0 {
-		c.times.Record(now, location, r.Route, took, a.ServiceTime)
+		c.times.RecordService(now, r.Route, a.ServiceTime)
+		if a.Load.Waiting == 0 && a.Load.Running < a.Load.Slots { // it hardly waited for a slot
+			c.times.RecordWay(now, location, took-a.ServiceTime)
+		}
 	}
 	c.book.Record(t.Peer.Member.Host, a.Advisory, a.Failure == nil)
 	c.estimator.RecordEnd(now, t.Peer.Member.Host, outcomeOfAnswer(r, a))
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -33,6 +33,7 @@
 	crashes     metric.Int64Counter
 	quarantined metric.Int64Counter
 	evacuated   metric.Int64Counter
+	regionBytes metric.Int64Counter
 }
 
 // latencyBounds are the bucket bounds of the latency histograms in seconds. They range
@@ -69,6 +70,7 @@
 	out.crashes = counter("burdock_server_crashes", "ends of the backend server here while it worked on requests")
 	out.quarantined = counter("burdock_quarantined", "requests that are refused from now on because servers ended under them, by source")
 	out.evacuated = counter("burdock_evacuation_refused", "requests that were refused because the failure domain here is evacuated")
+	out.regionBytes = counter("burdock_region_bytes", "bytes of bodies between this region and another one, by route and region")
 	out.calls = counter("burdock_store_calls", "calls to the log service by kind and outcome")
 	_, err := m.Int64ObservableGauge("burdock_slots_in_use", metric.WithDescription("requests that run on the backend server, and that wait"),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
@@ -173,6 +175,12 @@
 	}
 }
 
+func (m *metrics) countRegionBytes(route string, region ident.Region, bytes int) {
+	if m != nil && bytes > 0 {
+		m.regionBytes.Add(context.Background(), int64(bytes), metric.WithAttributes(attribute.String("route", route), attribute.String("region", string(region))))
+	}
+}
+
 func (m *metrics) countPanic(duty string) {
 	if m != nil {
 		count(m.panics, attribute.String("duty", duty))
