--- a/internal/sidecar/regions_test.go
+++ b/internal/sidecar/regions_test.go
@@ -23,7 +23,7 @@
 // service p and of the sharded service s on each host "REGION/N", and the tables of its routes.
 func newRegionChooser(allowed ...ident.Region) (c *chooser, table *routes.Table) {
 	clock := &manualClock{now: ident.Instant(time.Hour)}
-	p := &peers{self: ident.Member{Host: "a/0"}, location: ident.Location{Region: "a"}, clock: clock, log: zap.NewNop(), roster: roster.New("a/0")}
+	p := &peers{self: ident.Member{Host: "a/0"}, location: ident.Location{Region: "a"}, clock: clock, log: zap.NewNop(), roster: roster.New("a/0"), evacuations: newEvacuations("", time.Second, nil, clock, zap.NewNop())}
 	for _, h := range []ident.Host{"a/0", "a/1", "b/0", "b/1", "c/0"} {
 		p.roster.Merge(roster.Entry{
 			Member: ident.Member{Host: h, Incarnation: 1}, Location: ident.Location{Region: ident.Region(h[:1])},
