balance, hop: the delay on the way to a daemon counts in the choice of a server

Cause: on a host short of processor time, or behind a full link, a request spends hundreds of milliseconds before and after its server runs it.

Change: an answer says how long the daemon beside the server held the request. The rest of the measured time, less what the distance takes, is the delay of that way: smoothed, halved each second without news, ignored below 20 ms.

--- a/internal/core/balance/estimate.go
+++ b/internal/core/balance/estimate.go
@@ -27,6 +27,7 @@
 	Failure            time.Duration // what a failed request costs its caller
 	ReportHalfLife     time.Duration // age at which a load report counts half
 	RefusalHalfLife    time.Duration // age at which a refusal counts half
+	DelayHalfLife      time.Duration // age at which a delay on the way counts half
 	RetryInterval      time.Duration // time between two requests to an unreachable server
 }
 
@@ -41,6 +42,7 @@
 		Failure:            400 * time.Millisecond,
 		ReportHalfLife:     time.Second,
 		RefusalHalfLife:    time.Second,
+		DelayHalfLife:      time.Second,
 		RetryInterval:      time.Second,
 	}
 }
@@ -78,9 +80,11 @@
 type Outcome struct {
 	Failed      bool
 	Refused     bool // not run for lack of room; implies Failed
+	Distance    Distance
 	Report      Report
 	Route       string
 	ServiceTime time.Duration // zero if unknown
+	Way         time.Duration // spent on the way there and back, or at least that if no answer came; zero if unknown
 	Bytes       int           // of the answer's body
 }
 
@@ -90,6 +94,8 @@
 	othersUsage float64 // slots in use and waiting requests of other daemons, as last reported
 	room, pace  float64 // as last reported
 	reportedAt  ident.Instant
+	delay       float64 // smoothed time on the way beyond that of its distance, in seconds, at delayedAt
+	delayedAt   ident.Instant
 	slowness    float64 // mean of its service times, each divided by the mean of all servers for the route
 	failureRate float64 // smoothed fraction of failed requests
 	refusalRate float64 // smoothed fraction of requests that it had no room for, at refusedAt
@@ -157,6 +163,7 @@
 	use      float64 // requests per request of its capacity
 	slowness float64 // service time relative to that of all servers
 	failures float64 // fraction of requests that fail or are refused
+	delay    float64 // expected beyond the usual way there and back, in seconds
 	blocked  bool    // unreachable, and not to be tried again yet
 }
 
@@ -179,6 +186,9 @@
 		failures: min(s.failureRate+s.refusalRate*decay(now.Sub(s.refusedAt), e.costs.RefusalHalfLife), 1),
 		blocked:  o.Unreachable && now.Sub(s.lastSent) < e.costs.RetryInterval,
 	}
+	if d := s.delay * decay(now.Sub(s.delayedAt), e.costs.DelayHalfLife); d > delayThreshold.Seconds() {
+		v.delay = d
+	}
 	if s.slowness > slownessThreshold {
 		v.slowness = s.slowness
 	}
@@ -202,7 +212,7 @@
 	if v.blocked {
 		return math.MaxFloat64
 	}
-	cost := v.failures * e.costs.Failure.Seconds()
+	cost := v.failures*e.costs.Failure.Seconds() + v.delay
 	if o.Distance == SameRegion {
 		cost += e.costs.CrossDomain.Seconds()
 	}
@@ -217,13 +227,8 @@
 	if v.blocked {
 		return math.MaxFloat64
 	}
-	t := v.failures * e.costs.Failure.Seconds()
-	switch o.Distance {
-	case SameRegion:
-		t += e.costs.CrossDomain.Seconds()
-	case OtherRegion:
-		t += e.costs.RegionRoundTrip.Seconds()
-	}
+	t := v.failures*e.costs.Failure.Seconds() + v.delay
+	t += e.usualWay(o.Distance).Seconds()
 	service := e.costs.DefaultServiceTime.Seconds()
 	if r := e.routes[route]; r != nil && r.serviceTime > 0 {
 		service = r.serviceTime
@@ -262,6 +267,7 @@
 		use := min(float64(r.Running+r.Waiting)/float64(r.Slots), maxReportedUse)
 		e.slowdown += routeSmoothing * (slowdownAt(use) - e.slowdown)
 	}
+	e.recordDelay(now, s, o)
 	refused := 0.0
 	if o.Refused {
 		refused = 1
@@ -281,6 +287,40 @@
 	}
 }
 
+// delayThreshold is the delay above which a way counts as delayed. Less is the normal
+// variation of a network and of the daemons' own work.
+const delayThreshold = 20 * time.Millisecond
+
+// delaySmoothing is the weight of one observation in the delay of a way. A slow host or a full
+// link delays every message for seconds, so that few observations suffice.
+const delaySmoothing = 0.3
+
+// recordDelay adds the time on the way of an outcome to the delay of a server's daemon: its
+// host may be short of processor time, or the link to it full. Neither shows in its reports.
+func (e *Estimator) recordDelay(now ident.Instant, s *observation, o Outcome) {
+	if o.Way == 0 {
+		return
+	}
+	s.delay *= decay(now.Sub(s.delayedAt), e.costs.DelayHalfLife)
+	s.delayedAt = now
+	x := max(o.Way-e.usualWay(o.Distance), 0).Seconds()
+	if o.Failed && x < s.delay {
+		return // no answer came: the way may have taken longer
+	}
+	s.delay += delaySmoothing * (x - s.delay)
+}
+
+// usualWay returns the time there and back at a distance.
+func (e *Estimator) usualWay(d Distance) time.Duration {
+	switch d {
+	case SameRegion:
+		return e.costs.CrossDomain
+	case OtherRegion:
+		return e.costs.RegionRoundTrip
+	}
+	return 0
+}
+
 // updateRoute adds an answer to the means of its route and returns the new mean service time
 // in seconds.
 func (e *Estimator) updateRoute(o Outcome) float64 {
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -100,6 +100,9 @@
 	// Statement is what the backend server's answer states about the server; nil if none
 	// came. It is not sent to other daemons.
 	Statement *advisory.Statement
+	// Held is the time from the arrival of the request at the daemon beside the server to its
+	// answer; zero means unknown. The rest of what the sender measures was spent on the way.
+	Held time.Duration
 	// ConnectionLost reports that the backend server closed or reset the connection before
 	// its answer was complete. It is not sent to other daemons.
 	ConnectionLost bool
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -1,12 +1,14 @@
 package hop
 
 import (
+
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -190,7 +192,9 @@
 func (s *Server) HandleStream(ctx context.Context, from ident.Member, stream mesh.ServerStream) {
 	s.open.Add(1)
 	defer s.open.Add(-1)
+	arrived := s.clock.Now()
 	a := s.serve(ctx, from.Host, stream)
+	a.Held = max(s.clock.Now().Sub(arrived), time.Millisecond)
 	a.Load.LinkWait = s.link.Wait()
 	head, rest, err := encodeAnswer(a, s.clock.Now(), inlineOn(stream, a.Body))
 	if err == nil {
--- a/internal/hop/wire.go
+++ b/internal/hop/wire.go
@@ -68,6 +68,7 @@
 	LinkWaitMS     int64
 	RoomTenths     int // tenths of a request; zero means unknown
 	PacePercent    int // zero means unknown
+	HeldMS         int64
 }
 
 // wireAdvisory is the CBOR array that encodes an advisory. The order of the fields is the
@@ -172,7 +173,7 @@
 		Status: a.Status, Header: flattenFields(a.Header), ReachedBackend: a.ReachedBackend,
 		Load: [3]int{a.Load.Running, a.Load.Waiting, a.Load.Slots}, ServiceTimeMS: a.ServiceTime.Milliseconds(),
 		Advisory: encodeAdvisory(a.Advisory, now), Suspicion: a.Suspicion, LinkWaitMS: a.Load.LinkWait.Milliseconds(),
-		RoomTenths: int(math.Round(10 * a.Load.Room)), PacePercent: int(math.Round(100 * a.Load.Pace)),
+		RoomTenths: int(math.Round(10 * a.Load.Room)), PacePercent: int(math.Round(100 * a.Load.Pace)), HeldMS: a.Held.Milliseconds(),
 	}
 	if e := a.Failure; e != nil {
 		w.Failure = &wireFailure{Kind: uint8(e.Kind), Truth: string(e.Answer().Truth), Detail: e.Detail, RetryMS: e.RetryAfter.Milliseconds()}
@@ -197,6 +198,7 @@
 	a := &Answer{Status: w.Status, Header: fields, Body: w.Body, ReachedBackend: w.ReachedBackend, Load: Load{Running: w.Load[0], Waiting: w.Load[1], Slots: w.Load[2]}}
 	a.Load.LinkWait = peerDuration(w.LinkWaitMS)
 	a.Load.Room = float64(min(max(w.RoomTenths, 0), maxRoomTenths)) / 10
+	a.Held = peerDuration(w.HeldMS)
 	a.Load.Pace = float64(min(max(w.PacePercent, 0), maxPacePercent)) / 100
 	a.Advisory, a.Suspicion = decodeAdvisory(w.Advisory, now), limitSuspicion(w.Suspicion)
 	a.ServiceTime = peerDuration(w.ServiceTimeMS)
--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -194,7 +194,7 @@
 		}
 	}
 	c.book.Record(t.Peer.Member.Host, a.Advisory, a.Failure == nil)
-	c.estimator.RecordEnd(now, t.Peer.Member.Host, outcomeOfAnswer(r, a))
+	c.estimator.RecordEnd(now, t.Peer.Member.Host, c.outcomeOf(t, r, a, took))
 	c.mu.Unlock()
 	if t.Local {
 		return
@@ -216,17 +216,25 @@
 	return p.Location
 }
 
-// outcomeOfAnswer returns what an answer says of the server.
-func outcomeOfAnswer(r *hop.Request, a *hop.Answer) balance.Outcome {
+// outcomeOf returns what an answer that arrived after a time says of the server and of the
+// way to it.
+func (c *chooser) outcomeOf(t edge.Target, r *hop.Request, a *hop.Answer, took time.Duration) balance.Outcome {
 	o := balance.Outcome{
 		Report: balance.Report{Running: a.Load.Running, Waiting: a.Load.Waiting, Slots: a.Load.Slots, Room: a.Load.Room, Pace: a.Load.Pace},
-		Route:  r.Route, ServiceTime: a.ServiceTime, Bytes: len(a.Body),
+		Route:  r.Route, ServiceTime: a.ServiceTime, Bytes: len(a.Body), Distance: c.distance(c.locationOf(t)),
+	}
+	answered := a.Held > 0
+	if !t.Local && answered && len(r.Body) < hop.MinBudgetedBody {
+		o.Way = max(took-a.Held, 0)
 	}
 	if a.Failure == nil || a.Failure.Kind == errkind.Canceled {
 		return o
 	}
 	o.Failed = true
 	o.Refused = a.Failure.Kind == errkind.Overloaded || a.Failure.Kind == errkind.DeadlineBeforeStart
+	if !t.Local && !answered && a.Failure.Kind == errkind.DeadlineAfterStart {
+		o.Way = took
+	}
 	return o
 }
 
