--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -13,17 +13,18 @@
 // everything else through the platform's store. It has no tenant keys, no TLS and no
 // administration address.
 type Sidecar struct {
-	Host       Host             `yaml:"host"`
-	Service    ident.Service    `yaml:"service"` // of the backend server on this host
-	Listen     SidecarAddresses `yaml:"listen"`
-	Store      Store            `yaml:"store"`
-	Ownership  Ownership        `yaml:"ownership"`
-	Retries    Retries          `yaml:"retries"`
-	Drain      Drain            `yaml:"drain"`
-	Cold       Cold             `yaml:"cold"`
-	Evacuation Evacuation       `yaml:"evacuation"`
-	Resources  Resources        `yaml:"resources"`
-	Telemetry  Telemetry        `yaml:"telemetry"`
+	Host      Host             `yaml:"host"`
+	Service   ident.Service    `yaml:"service"` // of the backend server on this host
+	Listen    SidecarAddresses `yaml:"listen"`
+	Store     Store            `yaml:"store"`
+	Ownership Ownership        `yaml:"ownership"`
+	Retries   Retries          `yaml:"retries"`
+	Drain     Drain            `yaml:"drain"`
+	Cold      Cold             `yaml:"cold"`
+	Resources Resources        `yaml:"resources"`
+	Telemetry Telemetry        `yaml:"telemetry"`
+
+	Evacuation Evacuation `yaml:"evacuation"`
 }
 
 // SidecarAddresses holds the listen addresses of a sidecar daemon as host:port.
@@ -115,11 +116,12 @@
 			BalanceEvery:  time.Second,
 			BalanceRest:   2500 * time.Millisecond, // the duration of a move, and as long again to observe its effect
 		},
-		Retries:    Retries{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
-		Drain:      Drain{ServerTime: 2500 * time.Millisecond, GraceTime: 6 * time.Second},
-		Cold:       Cold{Factor: 1},
+		Retries:   Retries{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
+		Drain:     Drain{ServerTime: 2500 * time.Millisecond, GraceTime: 6 * time.Second},
+		Cold:      Cold{Factor: 1},
+		Telemetry: Telemetry{LogLevel: "info", TraceExporter: TraceNone, TraceRatio: 0.01, Metrics: true},
+
 		Evacuation: Evacuation{ApplyTime: 5 * time.Second},
-		Telemetry:  Telemetry{LogLevel: "info", TraceExporter: TraceNone, TraceRatio: 0.01, Metrics: true},
 	}
 }
 
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -110,8 +110,7 @@
 func TestHintsInQuickSuccessionDoNotStopPolls(t *testing.T) {
 	log := &versionLog{answerTime: 60 * time.Millisecond}
 	c := &configFollower{
-		evacuations: newEvacuations("d", time.Second, nil, &manualClock{}, zap.NewNop()),
-		store:       log, log: zap.NewNop(), pollTime: func() time.Duration { return time.Second }, onChange: func(*routes.Table, string) {},
+		store: log, log: zap.NewNop(), evacuations: newEvacuations("d", time.Second, nil, &manualClock{}, zap.NewNop()), pollTime: func() time.Duration { return time.Second }, onChange: func(*routes.Table, string) {},
 		decode: func(raw []byte) (routes.Config, error) {
 			v, err := strconv.Atoi(string(raw))
 			return routes.Config{Version: routes.Version(v)}, err
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -66,22 +66,22 @@
 	member ident.Member
 	clock  *ident.MonotonicClock
 
-	server      *server
-	ownership   *ownership
-	configs     *configFollower
-	peers       *peers
-	departures  *departureStore
-	gate        *admitting.Gate
-	suspects    *suspects
-	evacuations *evacuations
-	edge        *edge.Server
-	hop         *hop.Server
-	executor    *executor
-	mesh        *mesh.Mesh
-	metrics     *metrics
-	origin      *origin.Client
-	adapter     Adapter
-	telemetry   *telemetry.Providers // metrics and traces
+	server     *server
+	ownership  *ownership
+	configs    *configFollower
+	peers      *peers
+	departures *departureStore
+	gate       *admitting.Gate
+	suspects   *suspects
+	evacuated  *evacuations
+	edge       *edge.Server
+	hop        *hop.Server
+	executor   *executor
+	mesh       *mesh.Mesh
+	metrics    *metrics
+	origin     *origin.Client
+	adapter    Adapter
+	telemetry  *telemetry.Providers // metrics and traces
 
 	service  atomic.Pointer[ident.Service] // service on this host according to the settings
 	stopping atomic.Bool
@@ -107,12 +107,11 @@
 	d.server = &server{clock: d.clock, ownership: d.ownership, gate: d.gate, log: log, drainTime: cfg.Drain.ServerTime, onChange: func() { d.peers.requestHello() },
 		isConfigured: func(s ident.Service) bool { return d.configs.isConfigured(s) }, saveDeparture: d.departures.save,
 		coldBound: func(s ident.Service) admission.ColdBound { return coldBoundOf(d.configs.Routes(), s, cfg.Cold) }}
-	d.evacuations = newEvacuations(cfg.Host.FailureDomain, cfg.Evacuation.ApplyTime, adapter.DecodeEvacuation, d.clock, log)
-	d.evacuations.metrics = d.metrics
-	d.evacuations.onChange = func(c evacuation.Change, source string) { d.handleEvacuation(c, source) }
+	d.evacuated = newEvacuations(cfg.Host.FailureDomain, cfg.Evacuation.ApplyTime, adapter.DecodeEvacuation, d.clock, log)
+	d.evacuated.metrics = d.metrics
+	d.evacuated.onChange = func(c evacuation.Change, source string) { d.handleEvacuation(c, source) }
 	d.configs = &configFollower{
-		evacuations: d.evacuations,
-		store:       d.adapter.Log, decode: adapter.DecodeConfig, log: log,
+		store: d.adapter.Log, decode: adapter.DecodeConfig, evacuations: d.evacuated, log: log,
 		pollTime: func() time.Duration { return d.peers.configPollTime() },
 		onChange: func(t *routes.Table, source string) {
 			d.ownership.addAgents(shardedServices(t))
@@ -142,7 +141,7 @@
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	d.telemetry = p
-	d.metrics, err = newMetrics(p.Meter(), func() (int, int) { l := d.gate.SlotUsage(); return l.Running, l.Waiting }, func() float64 { return d.server.limit() }, func() int { return len(d.evacuations.Domains()) })
+	d.metrics, err = newMetrics(p.Meter(), func() (int, int) { l := d.gate.SlotUsage(); return l.Running, l.Waiting }, func() float64 { return d.server.limit() }, func() int { return len(d.evacuated.Domains()) })
 	if err != nil {
 		return err
 	}
@@ -207,7 +206,7 @@
 		self: d.member, addr: d.cfg.Listen.Mesh,
 		location: d.location(), service: d.cfg.Service,
 		clock: d.clock, store: d.adapter.Log, mesh: d.mesh, server: d.server, gate: d.gate,
-		ownership: d.ownership, configs: d.configs, suspects: d.suspects, evacuations: d.evacuations, log: d.log,
+		ownership: d.ownership, configs: d.configs, suspects: d.suspects, evacuations: d.evacuated, log: d.log,
 		pollTime: d.cfg.Store.PollTime, watchPollTime: d.cfg.Store.WatchPoll,
 		helloRequested:  make(chan struct{}, 1),
 		registrationDue: make(chan struct{}, 1),
@@ -228,7 +227,7 @@
 	bodies := &hop.BodyBudget{}
 	d.origin = origin.NewClient(d.adapter.HeaderNames, maxServerConnections, d.clock)
 	crashes := &crashWatch{server: d.server, accepts: d.origin.Accepts, clock: d.clock, metrics: d.metrics, log: d.log, onCrash: d.suspects.recordCrash, runs: quarantine.NewRuns()}
-	d.executor = &executor{server: d.server, ownership: d.ownership, gate: d.gate, client: d.origin, crashes: crashes, suspects: d.suspects, evacuations: d.evacuations, stop: d.bounds, clock: d.clock, metrics: d.metrics, log: d.log}
+	d.executor = &executor{server: d.server, ownership: d.ownership, gate: d.gate, client: d.origin, crashes: crashes, suspects: d.suspects, evacuated: d.evacuated, stop: d.bounds, clock: d.clock, metrics: d.metrics, log: d.log}
 	targetChooser := &chooser{
 		peers: d.peers, ownership: d.ownership, suspects: d.suspects, clock: d.clock,
 		estimator: balance.NewEstimator(balance.DefaultCosts()),
--- a/internal/sidecar/evacuation.go
+++ b/internal/sidecar/evacuation.go
@@ -224,15 +224,15 @@
 	for _, domain := range c.Began {
 		servers, _ := d.peers.serversIn(domain)
 		d.log.Info("evacuation_began", zap.String("domain", string(domain)), zap.String("source", source), zap.Int("servers", servers), zap.Int("keys", d.peers.keysIn(domain)))
-		if domain == d.evacuations.own {
-			d.evacuations.refused.Store(0)
+		if domain == d.evacuated.own {
+			d.evacuated.refused.Store(0)
 		}
 	}
 	for _, domain := range c.Ended {
 		servers, _ := d.peers.serversIn(domain)
 		refused := int64(0)
-		if domain == d.evacuations.own {
-			refused = d.evacuations.refused.Load()
+		if domain == d.evacuated.own {
+			refused = d.evacuated.refused.Load()
 			d.server.holdCold()
 		}
 		d.log.Info("evacuation_ended", zap.String("domain", string(domain)), zap.String("source", source), zap.Int("servers", servers), zap.Int64("refused_here", refused))
--- a/internal/sidecar/evacuation_test.go
+++ b/internal/sidecar/evacuation_test.go
@@ -88,7 +88,7 @@
 	hb.Service = "pool"
 	s.HandleHeartbeat(hb)
 	e := newEvacuations("a", 5*time.Second, nil, clock, zap.NewNop())
-	x := &executor{server: s, ownership: s.ownership, evacuations: e}
+	x := &executor{server: s, ownership: s.ownership, evacuated: e}
 	r := &hop.Request{Service: "pool", Key: hop.NoKey}
 	assert.Assert(t, x.checkAllowed(r) == nil)
 	e.merge(evacuationNotice{State: evacuation.State{At: 1, Domains: domains{"a"}}, AgeMS: 2000}, ident.Member{Host: "h"})
@@ -107,7 +107,7 @@
 	s := newTestServer(clock)
 	e := newEvacuations("a", 5*time.Second, nil, clock, zap.New(core))
 	p := &peers{self: ident.Member{Host: "h-a"}, clock: clock, log: zap.New(core), roster: roster.New("h-a"), ownership: s.ownership, server: s, evacuations: e}
-	d := &Daemon{server: s, ownership: s.ownership, evacuations: e, peers: p, log: zap.New(core)}
+	d := &Daemon{server: s, ownership: s.ownership, evacuated: e, peers: p, log: zap.New(core)}
 	e.onChange = d.handleEvacuation
 	for _, domain := range []string{"a", "b"} {
 		p.roster.Merge(roster.Entry{
--- a/internal/sidecar/executor.go
+++ b/internal/sidecar/executor.go
@@ -28,15 +28,15 @@
 // executor runs requests on the backend server beside the daemon. It implements
 // hop.Handler, for requests of this daemon's callers and of other daemons.
 type executor struct {
-	server      *server
-	ownership   *ownership
-	gate        *admitting.Gate
-	client      *origin.Client
-	crashes     *crashWatch
-	suspects    *suspects
-	evacuations *evacuations
-	stop        *hop.Stop
-	clock       ident.Clock
+	server    *server
+	ownership *ownership
+	gate      *admitting.Gate
+	client    *origin.Client
+	crashes   *crashWatch
+	suspects  *suspects
+	evacuated *evacuations
+	stop      *hop.Stop
+	clock     ident.Clock
 
 	metrics *metrics
 	tracer  *hop.Tracer // nil records no spans
@@ -161,7 +161,7 @@
 	_, leaving, ok := x.server.target(r.Service)
 	sharded := x.ownership.isSharded(r.Service)
 	if ok {
-		if e := x.evacuations.refusal(sharded); e != nil {
+		if e := x.evacuated.refusal(sharded); e != nil {
 			return e
 		}
 	}
