--- a/internal/core/linkroom/config.go
+++ b/internal/core/linkroom/config.go
@@ -19,9 +19,9 @@
 	// link that needs no pacing.
 	largestUnpaced = 64 << 10
 
-	// pieceTime is the time on the link of what is granted at a time: long enough that the
-	// credit costs little processor time, and short beside InFlight.
-	pieceTime = 10 * time.Millisecond
+	// pieceTime is the time on the link of what is granted at a time: each piece costs the
+	// processors of both ends several system calls, and two of them fill InFlight.
+	pieceTime = 20 * time.Millisecond
 
 	bitsPerMbps = 1e6
 	bitsPerByte = 8
@@ -58,13 +58,9 @@
 	rate := BytesPerSecond(mbps)
 	return Config{
 		Rate: rate, Share: 0.9, MinShare: 0.2, InFlight: 40 * time.Millisecond,
-		Piece: max(int(rate*pieceTime.Seconds()), MinUnpaced), StaleAfter: 200 * time.Millisecond,
+		Piece: max(int(rate*pieceTime.Seconds()), MinUnpaced), StaleAfter: 100 * time.Millisecond,
 	}
 }
 
 // inFlightBytes returns the bytes that may be granted and not have arrived.
 func (c Config) inFlightBytes() float64 { return max(c.Rate*c.InFlight.Seconds(), float64(2*c.Piece)) }
-
-// bodyBytes returns the most credit in bytes that one sender holds, so that a slow one leaves
-// room for another.
-func (c Config) bodyBytes() int { return max(int(c.inFlightBytes()/2), c.Piece) }
--- a/internal/core/linkroom/room.go
+++ b/internal/core/linkroom/room.go
@@ -12,7 +12,7 @@
 	otherWindow = time.Second
 	// plannedShare is the part of the bodies' rate that is promised, as other traffic comes
 	// and goes.
-	plannedShare = 0.9
+	plannedShare = 0.95
 	// maxAway bounds the distance of a sender, as a slow one looks like one that is far away.
 	maxAway = 100 * time.Millisecond
 	// maxSenders bounds the senders whose distance is known.
@@ -115,6 +115,11 @@
 	return time.Duration(bytes / (r.bodyRate() * plannedShare) * float64(time.Second))
 }
 
+// leastTimeOf returns how long some bytes take with nothing else on the link.
+func (r *Room) leastTimeOf(bytes float64) time.Duration {
+	return time.Duration(bytes / r.cfg.Rate * float64(time.Second))
+}
+
 // Wait returns how long a body that comes now waits for those before it.
 func (r *Room) Wait(now ident.Instant) time.Duration {
 	r.refill(now)
@@ -160,7 +165,7 @@
 }
 
 // fits reports whether e arrives when it is due, and whether all bodies behind it that are as
-// urgent and would arrive when they are due still do. Less urgent ones give way.
+// urgent and may still arrive when they are due do so. Less urgent ones give way.
 func (r *Room) fits(now ident.Instant, e *entry) bool {
 	at := r.place(e)
 	var ahead float64
@@ -175,8 +180,8 @@
 			break
 		}
 		ahead += o.missing
-		without, with := now.Add(r.timeOf(ahead)), now.Add(r.timeOf(ahead+e.missing))
-		if without <= o.due && with > o.due {
+		atBest, with := now.Add(r.leastTimeOf(ahead)), now.Add(r.timeOf(ahead+e.missing))
+		if atBest <= o.due && with > o.due {
 			return false
 		}
 	}
@@ -224,8 +229,7 @@
 func (r *Room) Step(now ident.Instant) (grants []Grant, late []ID, next time.Duration) {
 	r.refill(now)
 	for _, e := range slices.Clone(r.queue) {
-		alone := time.Duration(e.missing / r.cfg.Rate * float64(time.Second))
-		if !e.Kept && e.granted < e.Size && now.Add(alone) > e.lastByte {
+		if !e.Kept && e.granted < e.Size && now.Add(r.leastTimeOf(e.missing)) > e.lastByte {
 			late = append(late, e.id)
 			r.Remove(e.id)
 		}
@@ -237,28 +241,26 @@
 		}
 	}
 	for _, e := range r.queue {
-		n := 0
-		for !r.isStale(now, e) {
+		n, full := 0, false
+		for !r.isStale(now, e) && e.granted+n < e.Size && !full {
 			piece := min(r.cfg.Piece, e.Size-e.granted-n)
-			if piece <= 0 || e.granted+n-e.arrived+piece > r.cfg.bodyBytes()+int(r.travelling(e)) {
-				break
-			}
 			more := r.atLink(e, n+piece) - r.atLink(e, n)
-			if r.tokens < float64(piece) || onTheWay+more > r.cfg.inFlightBytes() {
-				break
+			if full = r.tokens < float64(piece) || onTheWay+more > r.cfg.inFlightBytes(); !full {
+				n += piece
+				r.tokens -= float64(piece)
+				onTheWay += more
 			}
-			n += piece
-			r.tokens -= float64(piece)
-			onTheWay += more
 		}
-		if n == 0 {
-			continue
+		if n > 0 {
+			if e.granted == e.arrived {
+				e.usedAt = now
+			}
+			e.granted += n
+			grants = append(grants, Grant{e.id, n})
 		}
-		if e.granted == e.arrived {
-			e.usedAt = now
+		if full {
+			break // a small piece of a later body must not take what a large one waits for
 		}
-		e.granted += n
-		grants = append(grants, Grant{e.id, n})
 	}
 	return grants, late, r.untilNext()
 }
@@ -283,9 +285,13 @@
 	if len(r.queue) == 0 {
 		return 0
 	}
-	lacking := float64(r.cfg.Piece) - r.tokens
-	if lacking <= 0 || !slices.ContainsFunc(r.queue, func(e *entry) bool { return e.granted < e.Size }) {
+	first := slices.IndexFunc(r.queue, func(e *entry) bool { return e.granted < e.Size })
+	if first < 0 {
 		return r.cfg.StaleAfter / 4
 	}
-	return max(r.timeOf(lacking), time.Millisecond)
+	piece := min(r.cfg.Piece, r.queue[first].Size-r.queue[first].granted)
+	if lacking := float64(piece) - r.tokens; lacking > 0 {
+		return max(r.timeOf(lacking), time.Millisecond)
+	}
+	return r.cfg.StaleAfter / 4
 }
