--- a/internal/explain/meaning.go
+++ b/internal/explain/meaning.go
@@ -4,7 +4,7 @@
 // keys are "answered" and the names of error kinds.
 var meanings = map[string]string{
 	"answered":              "A backend server answered; its status is in request_done.",
-	"overloaded":            "The queue at the server was longer than the request could wait; server_declined shows the length of the queue, ownership_write reason=balance whether keys were moved away.",
+	"overloaded":            "The queue at the server was longer than the request could wait; server_declined shows the length of the queue, ownership_write reason=balance whether keys were moved away. With body_refused, the slow link of the server's host had no room for the body before the deadline.",
 	"backend-refused":       "The backend server stated that it did not run the request, each time the request was sent.",
 	"backend-unavailable":   "No backend server of the service accepted new requests; look for server_lost, server_state and peer_state.",
 	"not-owner":             "The server that the ownership table names did not hold the key: the key was moving, or the server's grant was not renewed (grant_withheld).",
