balance: a long body goes where the link has room, and what says nothing of a server counts for nothing

Cause: a receiver with a slow link states how long a body waits for it, and refuses what does not fit; the choice of a server knew neither. Refusals for the link, cancellations and requests whose own calls have no room counted as faults of the server, or as its answers.

Change: the stated wait adds to the expected time of a long body; such outcomes update the report only.

--- a/internal/core/balance/choice.go
+++ b/internal/core/balance/choice.go
@@ -15,6 +15,7 @@
 	Target   time.Duration // time left to answer within the target latency, negative if it has passed; zero without a target
 	Deadline time.Duration // time left until the caller gives up
 	Choosers int           // daemons that choose among the servers
+	LongBody bool          // the body waits for the link of a host that has a slow one
 }
 
 // Best returns the index of the option that is expected to serve a request best, or -1 if
@@ -141,7 +142,7 @@
 		if o.Distance != distance {
 			continue
 		}
-		v := e.viewOf(now, o, mean, d.Choosers)
+		v := e.viewOf(now, o, mean, &d)
 		weight := e.capacity(o, e.observationOf(o.Host)) * max(1-v.use, minDrawWeight) / v.slowness
 		if v.blocked {
 			weight = 0
--- a/internal/core/balance/delay_test.go
+++ b/internal/core/balance/delay_test.go
@@ -69,3 +69,29 @@
 	assert.Assert(t, during < blind/2 && during > 0)
 	assert.Assert(t, before > 15 && after > 45, "its part is 33 and 83")
 }
+
+// Load pattern: uploads to servers behind slow links, of which one has half a second of bodies
+// ahead. A body goes elsewhere; a short request does not mind.
+func TestLongBodyAvoidsFullLink(t *testing.T) {
+	e, rng := NewEstimator(DefaultCosts()), rand.New(rand.NewPCG(1, 1))
+	now := ident.Instant(time.Hour)
+	options := []Option{{Host: "a", Slots: 6}, {Host: "b", Slots: 6}}
+	full := map[bool]int{}
+	for range 200 {
+		for _, o := range options {
+			report := Report{Slots: 6}
+			if o.Host == "a" {
+				report.LinkWait = 500 * time.Millisecond
+			}
+			e.RecordEnd(now, o.Host, Outcome{Failed: true, NoVerdict: true, Report: report})
+		}
+		for _, long := range []bool{false, true} {
+			d := Demand{Route: "r", Target: time.Second, Deadline: 5 * time.Second, Choosers: 60, LongBody: long}
+			if e.Best(now, rng, d, options) == 0 {
+				full[long]++
+			}
+		}
+	}
+	assert.Equal(t, full[true], 0)
+	assert.Assert(t, full[false] > 50, "%v", full)
+}
--- a/internal/core/balance/estimate.go
+++ b/internal/core/balance/estimate.go
@@ -72,13 +72,15 @@
 // Report is what the daemon beside a server says of its load with an answer.
 type Report struct {
 	Running, Waiting, Slots int
-	Room                    float64 // requests at once that the server takes well; zero if unknown
-	Pace                    float64 // service time now relative to the usual one; zero if unknown
+	Room                    float64       // requests at once that the server takes well; zero if unknown
+	Pace                    float64       // service time now relative to the usual one; zero if unknown
+	LinkWait                time.Duration // that a long body waits for the link of the server's host
 }
 
 // Outcome is the end of a request.
 type Outcome struct {
 	Failed      bool
+	NoVerdict   bool // says nothing of how the server runs requests, only what its report says
 	Refused     bool // not run for lack of room; implies Failed
 	Distance    Distance
 	Report      Report
@@ -93,6 +95,7 @@
 	inFlight    int     // requests of this daemon
 	othersUsage float64 // slots in use and waiting requests of other daemons, as last reported
 	room, pace  float64 // as last reported
+	linkWait    float64 // as last reported, in seconds
 	reportedAt  ident.Instant
 	delay       float64 // smoothed time on the way beyond that of its distance, in seconds, at delayedAt
 	delayedAt   ident.Instant
@@ -167,11 +170,11 @@
 	blocked  bool    // unreachable, and not to be tried again yet
 }
 
-// viewOf returns the view of an option, given the mean use by other daemons of the servers
+// viewOf returns the view of an option for a demand, given the mean use by other daemons of the servers
 // around it. Its own report counts less with its age: other daemons have acted on reports of
 // their own since, and if each daemon took a silent server for an idle one, they would all
 // choose the same.
-func (e *Estimator) viewOf(now ident.Instant, o *Option, meanOthers float64, choosers int) view {
+func (e *Estimator) viewOf(now ident.Instant, o *Option, meanOthers float64, d *Demand) view {
 	s := e.observationOf(o.Host)
 	capacity := e.capacity(o, s)
 	inFlight := float64(s.inFlight)
@@ -189,6 +192,9 @@
 	if d := s.delay * decay(now.Sub(s.delayedAt), e.costs.DelayHalfLife); d > delayThreshold.Seconds() {
 		v.delay = d
 	}
+	if d.LongBody {
+		v.delay += fresh * s.linkWait
+	}
 	if s.slowness > slownessThreshold {
 		v.slowness = s.slowness
 	}
@@ -201,7 +207,7 @@
 	if o.Cold && o.ColdRate > 0 {
 		// Nobody coordinates the daemons: each sends its part of the rate, as if the others did
 		// the same.
-		interval := float64(max(choosers, 1)) / limit
+		interval := float64(max(d.Choosers, 1)) / limit
 		v.use = max((float64(s.inFlight)+fresh*s.othersUsage)/capacity, interval/max(now.Sub(s.lastSent), time.Millisecond).Seconds())
 	}
 	return v
@@ -263,11 +269,14 @@
 	s.inFlight = max(s.inFlight-1, 0)
 	if r := o.Report; r.Slots > 0 { // otherwise the daemon beside the server said nothing
 		s.othersUsage, s.reportedAt = max(float64(r.Running+r.Waiting-s.inFlight), 0), now
-		s.room, s.pace = r.Room, r.Pace
+		s.room, s.pace, s.linkWait = r.Room, r.Pace, r.LinkWait.Seconds()
 		use := min(float64(r.Running+r.Waiting)/float64(r.Slots), maxReportedUse)
 		e.slowdown += routeSmoothing * (slowdownAt(use) - e.slowdown)
 	}
 	e.recordDelay(now, s, o)
+	if o.NoVerdict {
+		return
+	}
 	refused := 0.0
 	if o.Refused {
 		refused = 1
--- a/internal/core/balance/estimate_test.go
+++ b/internal/core/balance/estimate_test.go
@@ -75,7 +75,7 @@
 		e.RecordEnd(now, "a", Outcome{Route: "short", ServiceTime: 10 * time.Millisecond})
 		e.RecordEnd(now, "b", Outcome{Route: "long", ServiceTime: 900 * time.Millisecond})
 	}
-	costOf := func(o Option) float64 { return e.cost(&o, e.viewOf(now, &o, 0, 1)) }
+	costOf := func(o Option) float64 { return e.cost(&o, e.viewOf(now, &o, 0, &Demand{Choosers: 1})) }
 	costs := []float64{costOf(Option{Host: "a", Slots: 4}), costOf(Option{Host: "b", Slots: 4})}
 	assert.Assert(t, costs[1] < 1.1*costs[0], "%v", costs)
 }
--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -128,7 +128,7 @@
 // none can be reached.
 func (c *chooser) bestTarget(r *hop.Request, ps []roster.Peer) int {
 	now := c.clock.Now()
-	demand := balance.Demand{Route: r.Route, Bytes: len(r.Body), Deadline: r.TimeLeft(now), Choosers: c.peers.daemonCount()}
+	demand := balance.Demand{Route: r.Route, Bytes: len(r.Body), Deadline: r.TimeLeft(now), Choosers: c.peers.daemonCount(), LongBody: len(r.Body) >= pacedBody}
 	if r.TargetTime > 0 {
 		if demand.Target = r.TargetTime.Sub(now); demand.Target == 0 {
 			demand.Target = -1 // has passed; zero means that there is none
@@ -216,23 +216,30 @@
 	return p.Location
 }
 
+// pacedBody is the length in bytes from which a body may wait for a slow link. Shorter ones go
+// with the head of their request.
+const pacedBody = 6 << 10
+
 // outcomeOf returns what an answer that arrived after a time says of the server and of the
 // way to it.
 func (c *chooser) outcomeOf(t edge.Target, r *hop.Request, a *hop.Answer, took time.Duration) balance.Outcome {
 	o := balance.Outcome{
-		Report: balance.Report{Running: a.Load.Running, Waiting: a.Load.Waiting, Slots: a.Load.Slots, Room: a.Load.Room, Pace: a.Load.Pace},
+		Report: balance.Report{Running: a.Load.Running, Waiting: a.Load.Waiting, Slots: a.Load.Slots, Room: a.Load.Room, Pace: a.Load.Pace, LinkWait: a.Load.LinkWait},
 		Route:  r.Route, ServiceTime: a.ServiceTime, Bytes: len(a.Body), Distance: c.distance(c.locationOf(t)),
 	}
 	answered := a.Held > 0
 	if !t.Local && answered && len(r.Body) < hop.MinBudgetedBody {
 		o.Way = max(took-a.Held, 0)
 	}
-	if a.Failure == nil || a.Failure.Kind == errkind.Canceled {
+	if a.Failure == nil {
 		return o
 	}
+	kind := a.Failure.Kind
+	forLink := kind == errkind.Overloaded && a.Load.LinkWait > 0 && len(r.Body) >= pacedBody
+	o.NoVerdict = forLink || kind == errkind.Canceled || kind == errkind.CallsWithoutRoom || kind == errkind.RegionNotAllowed
 	o.Failed = true
-	o.Refused = a.Failure.Kind == errkind.Overloaded || a.Failure.Kind == errkind.DeadlineBeforeStart
-	if !t.Local && !answered && a.Failure.Kind == errkind.DeadlineAfterStart {
+	o.Refused = kind == errkind.Overloaded || kind == errkind.DeadlineBeforeStart
+	if !t.Local && !answered && kind == errkind.DeadlineAfterStart {
 		o.Way = took
 	}
 	return o
