keyrange: handoffs to a crowded receiver are canceled at the write

Cause: each daemon bounds the rows that it gives, but several give to one idle server at the same time. With more than about 90 rows the answer to a heartbeat exceeds the 4 KiB that a server reads, so that none of its keys is renewed.

Change: a handoff beyond 64 rows of its receiver, by the table that the write is conditional on, is canceled while the giver keeps serving.

Shown: TestHandoffsToACrowdedReceiverAreCanceled (10 rows moved without it).

--- a/internal/core/keyrange/balance_test.go
+++ b/internal/core/keyrange/balance_test.go
@@ -163,3 +163,26 @@
 	}
 	assert.Assert(t, left*offeredSlots/6 < 2, "the owner keeps %.2f times its slots", left*offeredSlots/6)
 }
+
+// Load pattern: several owners of hot keys hand ranges to the same idle server at once, none
+// of them aware of the others. It must not get more rows than the answer to a heartbeat
+// carries: it would renew nothing, and its keys would lapse.
+func TestHandoffsToACrowdedReceiverAreCanceled(t *testing.T) {
+	a, b, c := owner("a"), owner("b"), owner("c")
+	now := ident.Instant(time.Hour)
+	agent := NewAgent(testConfig(), a.Member, now)
+	planned := Table{Rows: []Row{{Span: Span{0, 29999}, Owner: a, Fence: 1}, {Span: Span{30000, MaxKey}, Owner: c, Fence: 1}}}
+	agent.ApplyRead(planned, 1, now, now)
+	agent.HandleHeartbeat(Heartbeat{Instance: a.Instance, Sequence: 1}, now)
+	for i := range 10 {
+		s := Span{Key(100 * i), Key(100*i + 9)}
+		agent.addHandoff(agent.table.Rows[0], s, b)
+	}
+	for i := range maxRowsPerOwner - 4 {
+		k := Key(30000 + 100*i)
+		planned = planned.withRow(Row{Span: Span{k, k + 9}, Owner: b, Fence: 2})
+	}
+	agent.ApplyRead(planned, 2, now, now)
+	agent.writeHandoffs(now, []Candidate{candidate(a), candidate(b), candidate(c)})
+	assert.Equal(t, len(agent.handoffs), 4)
+}
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -153,6 +153,7 @@
 // receiver is gone.
 func (a *Agent) writeHandoffs(now ident.Instant, cs []Candidate) *Write {
 	a.updateHandoffs(now, cs)
+	a.cancelCrowded(now)
 	t := a.table
 	for _, g := range a.handoffs {
 		if !a.isReleased(g.Span, now) || !a.ownsHandoff(g) || !a.mayHandOff(g, now) {
@@ -173,6 +174,23 @@
 	return &Write{Table: t, Reason: reason}
 }
 
+// cancelCrowded cancels handoffs to owners that would have more than maxRowsPerOwner rows:
+// other daemons have handed them keys since the handoffs were planned. Keys of a server that
+// does not keep serving move all the same.
+func (a *Agent) cancelCrowded(now ident.Instant) {
+	if a.writeUnclear || !a.keepsServing(now) {
+		return
+	}
+	rows := make(map[Owner]int)
+	for _, r := range a.table.Rows {
+		rows[r.Owner]++
+	}
+	a.handoffs = slices.DeleteFunc(a.handoffs, func(g handoff) bool {
+		rows[g.to]++
+		return rows[g.to] > maxRowsPerOwner
+	})
+}
+
 // ownsHandoff reports whether the table still assigns every key of a handoff to
 // this host under the fencing token that the handoff was planned with.
 func (a *Agent) ownsHandoff(g handoff) bool {
