platform: a test of the memory that daemons hold for others; it fails

Cause: clients that the operators don't control read long answers slowly, and a process ended by its memory. Nothing showed it.

Change: TestMemoryForOthersIsBounded starts the product's own program beside callers and a server as such clients are: both daemons of a request have 96 MB and 512 descriptors (resources.memory_mb, ulimit), 24 callers, or 400 and 600 connections. Crowd and bounds are fixed here.

--- a/internal/standin/shardserver/server.go
+++ b/internal/standin/shardserver/server.go
@@ -55,6 +55,7 @@
 	answer      string        // body of the answers; "" for one that names the request
 	cut         *Cut          // answers are broken off; nil for none
 	endless     *Endless      // bytes without end take the place of answers; nil for none
+	readPause   time.Duration // after each part of a request's body; see slow.go
 	closed      chan struct{} // closed by Close
 	closeOnce   sync.Once
 }
@@ -282,7 +283,7 @@
 		s.serveGrantCall(w, r)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := s.readBody(r.Body)
 	if err != nil {
 		return
 	}
