held: what a daemon holds for others has one count and one bound

Cause: a whole answer was kept until its caller had read it, without a bound on their sum, at both daemons of a request; bodies and answers being read had fixed bounds of their own, whatever the host's memory. Nothing ended a write to a caller that reads nothing.

Change: internal/held counts bodies, answers (read, waiting, being written) and connections of callers in one place; internal/core/heldmem derives the bound from resources.memory_mb and decides who is cut. Long answers are read only with room; after 300 ms without, the readers that would keep most memory longest are cut; after 2 s the answer is given up as cut (502, never not-run). A caller that takes nothing for resources.unread_time (10s) is closed. Short bodies and answers are added to a counter. Without memory_mb the bounds are those of before. Garbage of long holdings is collected before another one if a quarter of the bound was released since.

TestAnswersAroundTheSizeOfAPart and FuzzAnswer use the new count in place of the old counter: as strict, nothing may stay counted.

--- a/internal/edge/bodies.go
+++ b/internal/edge/bodies.go
@@ -125,10 +125,7 @@
 
 // grow gives the body a buffer of the given size in bytes.
 func (b *requestBody) grow(size int) error {
-	reserved := 0
-	if size >= hop.MinBudgetedBody {
-		reserved = min(size, maxBodyBytes)
-	}
+	reserved := min(size, maxBodyBytes)
 	if !b.budget.Reserve(reserved) {
 		return errNoRoom
 	}
--- a/internal/edge/conns.go
+++ b/internal/edge/conns.go
@@ -6,9 +6,13 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/burdockfold/burdockfold/internal/held"
 )
 
 // connTable holds the connections of callers.
@@ -34,6 +38,9 @@
 
 // setState is the ConnState hook of the HTTP server.
 func (t *connTable) setState(c net.Conn, s fasthttp.ConnState) {
+	if rc, ok := c.(*recordingConn); ok && (s == fasthttp.StateIdle || s == fasthttp.StateClosed) {
+		rc.answer.Release() // it is written, or never will be
+	}
 	if surplus := t.record(c, s); surplus != nil {
 		_ = surplus.Close() // its reader ends and reports the state
 	}
@@ -120,7 +127,11 @@
 
 // callerListener accepts connections that record whether the caller has ended its sending
 // side.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	memory     *held.Memory
+	unreadTime time.Duration
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -128,13 +139,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recordingConn{Conn: c}, nil
+	l.memory.AddConnection()
+	return &recordingConn{Conn: c, memory: l.memory, unreadTime: l.unreadTime}, nil
 }
 
-// recordingConn is a connection of which one goroutine at a time reads.
+// recordingConn is a connection of which one goroutine at a time reads and writes.
 type recordingConn struct {
 	net.Conn
-	ended bool // a read has met the end of what the caller sends
+	memory     *held.Memory
+	unreadTime time.Duration
+	answer     held.Answer // that is being written
+	ended      bool        // a read has met the end of what the caller sends
+	closed     atomic.Bool // Close was called
 }
 
 // Read implements net.Conn.
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -56,6 +56,7 @@
 	conns         *connTable
 	bodyBudget    *hop.BodyBudget
 	unread        *unreadBodies
+	unreadTime    time.Duration // see SetUnreadTime
 }
 
 // NewServer returns a server that passes requests to a dispatcher. caller returns
@@ -65,7 +66,7 @@
 func NewServer(names hop.HeaderNames, r RouteSource, d *Dispatcher, caller func() string, maxConns int, budget *hop.BodyBudget, stop *hop.Stop, clock ident.Clock, log *zap.Logger) *Server {
 	s := &Server{
 		headerNames: names, routes: r, dispatcher: d, callerService: caller, stop: stop, clock: clock, log: log,
-		connWatcher: connwatch.New(watchInterval), conns: newConnTable(maxConns), bodyBudget: budget, unread: newUnreadBodies(budget),
+		connWatcher: connwatch.New(watchInterval), conns: newConnTable(maxConns), bodyBudget: budget, unread: newUnreadBodies(budget), unreadTime: DefaultUnreadTime,
 	}
 	s.http = &fasthttp.Server{
 		Handler:                       s.handleContained,
@@ -90,7 +91,9 @@
 }
 
 // Serve accepts connections of callers until Shutdown is called.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(callerListener{ln}) }
+func (s *Server) Serve(ln net.Listener) error {
+	return s.http.Serve(callerListener{ln, s.bodyBudget, s.unreadTime})
+}
 
 // WatchCallers is the duty that cancels requests whose callers have disconnected.
 func (s *Server) WatchCallers(ctx context.Context) error { return s.connWatcher.Run(ctx) }
@@ -159,6 +162,7 @@
 	watched := s.connWatcher.Add(ctx.Conn(), cancel)
 	defer s.connWatcher.Remove(watched)
 	a := s.dispatcher.Serve(callCtx, r, route)
+	holdAnswer(ctx.Conn(), a)
 	if a.Failure != nil {
 		s.writeFailure(ctx, r, s.stop.Failure(callCtx, a.Failure))
 		return
--- a/internal/hop/cut_test.go
+++ b/internal/hop/cut_test.go
@@ -12,8 +12,11 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/burdockfold/burdockfold/internal/core/heldmem"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/duty"
+	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/mesh"
 )
 
@@ -106,3 +109,56 @@
 type noControl struct{}
 
 func (noControl) HandleControl(ident.Member, mesh.Message) {}
+
+// A daemon that takes a long answer slowly is cut off when the memory is needed for another
+// one. What it got is no whole answer.
+func TestSlowDaemonIsCutForOthers(t *testing.T) {
+	const long = 4 << 20
+	memory := held.New(heldmem.Limits{Total: 3 * long / 2, Over: 2 * long, Bodies: long, Answers: 3 * long / 2, Reading: 3 * long / 2, Garbage: 1 << 40, Heap: 1, CutAfter: 10 * time.Millisecond, GiveUp: 10 * time.Second})
+	b, peer := startMesh(t, "b", nil)
+	clock := ident.NewMonotonicClock()
+	b.SetHandlers(noControl{}, NewServer(roomyAnswer{memory, long}, memory, clock, zap.NewNop()))
+	a, _ := startMesh(t, "a", nil)
+	r := &Request{Key: NoKey, Deadline: clock.Now().Add(20 * time.Second)}
+	head, _, err := encodeRequest(r, clock.Now())
+	assert.NilError(t, err)
+	slow, err := a.Open(context.Background(), peer, head, nil)
+	assert.NilError(t, err)
+	time.Sleep(soonDone) // it takes nothing for longer than a reader that is about to end
+	got := NewClient(a, clock).Send(context.Background(), peer, r)
+	assert.Assert(t, got.Failure == nil, "%v", got.Failure)
+	assert.Equal(t, len(got.Body), long)
+	_, err = io.Copy(io.Discard, slow.Body())
+	assert.ErrorIs(t, err, mesh.ErrCut)
+	assert.NilError(t, slow.Body().Close())
+	eventuallyFree(t, memory)
+}
+
+// soonDone is longer than the readers that package heldmem spares need to be done.
+const soonDone = 1500 * time.Millisecond
+
+func eventuallyFree(t *testing.T, m *held.Memory) {
+	for range 500 {
+		if total, _, _ := m.Bytes(); total == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("bytes stay counted")
+}
+
+// roomyAnswer implements Handler with answers of some bytes that take room in a memory.
+type roomyAnswer struct {
+	memory *held.Memory
+	bytes  int
+}
+
+func (h roomyAnswer) Serve(ctx context.Context, _ *Request) *Answer {
+	a := &Answer{Status: 200, Room: h.memory.NewAnswer()}
+	if err := a.Room.Grow(ctx, h.bytes); err != nil {
+		return FailedAnswer(errkind.New(errkind.AnswerCut, "%w", err))
+	}
+	a.Room.DoneReading()
+	a.Body = make([]byte, h.bytes)
+	return a
+}
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -13,6 +14,7 @@
 	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 	"github.com/burdockfold/burdockfold/internal/forward"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/mesh"
 )
 
@@ -24,10 +26,17 @@
 type Client struct {
 	transport mesh.Transport
 	clock     ident.Clock
+	memory    *held.Memory // of the answers
 }
 
 // NewClient returns a client that opens its streams on transport t.
-func NewClient(t mesh.Transport, c ident.Clock) *Client { return &Client{transport: t, clock: c} }
+func NewClient(t mesh.Transport, c ident.Clock) *Client {
+	return &Client{transport: t, clock: c, memory: &held.Memory{}}
+}
+
+// UseMemory makes the client hold its answers in a memory that others share. It must be called
+// before Send.
+func (c *Client) UseMemory(m *held.Memory) { c.memory = m }
 
 // Send sends a request to another daemon and returns that daemon's answer. If sending
 // fails, the answer holds a failure whose Truth says whether the request may have been
@@ -50,15 +59,40 @@
 	if err != nil {
 		return FailedAnswer(errkind.New(errkind.PeerProtocol, "%w", err))
 	}
-	if size > 0 {
-		a.Body, err = readBody(stream.Body(), size)
-	}
-	if err != nil {
+	if err := c.readAnswerBody(ctx, stream.Body(), a, size); err != nil {
+		a.Room.Release()
 		return FailedAnswer(errkind.New(errkind.AnswerCut, "%w", err))
 	}
+	a.Room.DoneReading()
 	return a
 }
 
+// readAnswerBody reads the body of size bytes that follows the head of an answer, or counts the
+// one in the head.
+func (c *Client) readAnswerBody(ctx context.Context, r io.Reader, a *Answer, size int) (err error) {
+	a.Room = c.memory.NewAnswer()
+	if size <= 0 {
+		return a.Room.Count(len(a.Body))
+	}
+	if err := checkBodySize(size); err != nil {
+		return err
+	}
+	if !c.memory.Known() {
+		a.Body, err = readBody(r, size)
+		return err
+	}
+	arrived := min(size, mesh.DefaultWindow) // is received while the answer waits for room
+	if err := a.Room.Count(arrived); err != nil {
+		return err
+	}
+	if err := a.Room.Grow(ctx, size); err != nil {
+		return err
+	}
+	a.Room.Uncount(arrived)
+	a.Body, err = readExactly(r, size)
+	return err
+}
+
 // streamFailure returns the answer for a request whose stream failed. It assumes that
 // the request reached a backend server unless the request was certainly not executed.
 func streamFailure(ctx context.Context, err error) *Answer {
@@ -125,15 +159,41 @@
 	s.open.Add(1)
 	defer s.open.Add(-1)
 	a := s.serve(ctx, stream)
+	defer a.Room.Release()
 	head, rest, err := encodeAnswer(a, s.clock.Now())
 	if err == nil {
-		err = stream.Respond(head, bytes.NewReader(rest))
+		err = s.respond(stream, head, rest)
 	}
 	if err != nil && ctx.Err() == nil {
 		s.log.Warn("hop_answer_failed", zap.Stringer("peer", from), zap.Error(err))
 	}
 }
 
+// respond sends an answer. A long one may be cut while the other daemon takes it slowly.
+func (s *Server) respond(stream mesh.ServerStream, head, rest []byte) error {
+	body := bytes.NewReader(rest)
+	aborter, ok := stream.(interface{ Abort() })
+	if len(rest) == 0 || !ok {
+		return stream.Respond(head, body)
+	}
+	reader := s.budget.Track(int64(len(rest)), time.Now(), aborter.Abort)
+	defer reader.End()
+	return stream.Respond(head, &takenBody{body, reader})
+}
+
+// takenBody is a body that records how much of it was taken.
+type takenBody struct {
+	*bytes.Reader
+	by *held.Reader
+}
+
+// Read implements io.Reader.
+func (b *takenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.by.Take(n)
+	return n, err
+}
+
 // serve decodes the request of a stream and passes it to the next handler. A request
 // that cannot be read is answered with PeerProtocol and has not been executed.
 func (s *Server) serve(ctx context.Context, stream mesh.ServerStream) *Answer {
@@ -141,12 +201,15 @@
 	if err == nil {
 		err = checkBodySize(size)
 	}
-	if err == nil && size > 0 {
-		if !s.budget.Reserve(size) {
-			return FailedAnswer(errkind.New(errkind.Overloaded, "no room for a body of %d bytes", size))
+	if err == nil {
+		room := max(size, len(r.Body)) // the body follows the head or is in it
+		if !s.budget.Reserve(room) {
+			return FailedAnswer(errkind.New(errkind.Overloaded, "no room for a body of %d bytes", room))
+		}
+		defer s.budget.Release(room)
+		if size > 0 {
+			r.Body, err = readExactly(stream.Body(), size)
 		}
-		defer s.budget.Release(size)
-		r.Body, err = readExactly(stream.Body(), size)
 	}
 	if err != nil {
 		return FailedAnswer(&errkind.Error{Kind: errkind.PeerProtocol, Truth: errkind.NotRun, Detail: err.Error(), Err: err})
--- a/internal/origin/body.go
+++ b/internal/origin/body.go
@@ -2,53 +2,102 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
-	"sync/atomic"
+
+	"github.com/burdockfold/burdockfold/internal/held"
 )
 
 // Limits of the bodies of answers. A daemon holds an answer whole, on hosts of a few
 // hundred megabytes.
 const (
-	maxAnswerBytes   = 8 << 20  // of one answer
-	maxBufferedBytes = 12 << 20 // of all answers that are being read; the copies of whole answers come on top
-	minBudgetedBytes = 64 << 10 // from which an answer counts toward maxBufferedBytes
-	partBytes        = 64 << 10 // of the parts in which a long answer is read
-	firstPartBytes   = 4 << 10  // of the first part of an answer of unknown length
+	maxAnswerBytes = 8 << 20  // of one answer
+	partBytes      = 64 << 10 // of the parts in which a long answer of unknown length is read
+	firstPartBytes = 4 << 10  // of the first of them
 )
 
-var (
-	errAnswerTooLong = errors.New("origin: answer is too long")
-	errAnswerMemory  = errors.New("origin: too many bytes of answers are being read")
-)
+var errAnswerTooLong = errors.New("origin: answer is too long")
 
-// readWhole reads a body up to its end. length is its announced length, or negative.
-// buffered counts the bytes of all bodies that are being read.
-func readWhole(r io.Reader, length int64, buffered *atomic.Int64) ([]byte, error) {
+// readWhole reads a body up to its end. length is its announced length, or negative. A long
+// body is read only as there is room for it in memory; the caller releases its room.
+func readWhole(ctx context.Context, r io.Reader, length int64, memory *held.Memory) (body []byte, room held.Answer, err error) {
+	room = memory.NewAnswer()
 	if length > maxAnswerBytes {
-		return nil, fmt.Errorf("%w: %d bytes are announced", errAnswerTooLong, length)
+		return nil, room, fmt.Errorf("%w: %d bytes are announced", errAnswerTooLong, length)
+	}
+	b := &boundedReader{r: r}
+	if length >= 0 && (length < held.LongBytes || memory.Known()) {
+		body, err = readAnnounced(ctx, b, int(length), &room)
+	} else {
+		body, err = readParts(ctx, b, memory.Known(), &room)
+	}
+	if err != nil {
+		room.Release()
+		return nil, room, err
+	}
+	room.DoneReading()
+	return body, room, nil
+}
+
+// readAnnounced reads a body of announced length.
+func readAnnounced(ctx context.Context, r io.Reader, length int, room *held.Answer) ([]byte, error) {
+	var err error
+	if length < held.LongBytes {
+		err = room.Count(length)
+	} else {
+		err = room.Grow(ctx, length)
 	}
-	b := &boundedReader{r: r, buffered: buffered}
-	defer b.release()
-	size := int64(firstPartBytes)
-	if length >= 0 {
-		size = min(length+1, partBytes) // a byte more, so that the end of the body is seen without another part
+	if err != nil {
+		return nil, err
 	}
-	// Parts are not copied while the answer grows: the garbage of 50 answers of several
-	// megabytes would be more than the memory of a daemon.
+	body, err := readPart(r, make([]byte, length+1)) // a byte more, so that the end of the body is seen
+	if err == io.EOF {
+		return body, nil
+	}
+	if err == nil {
+		err = errAnswerTooLong
+	}
+	return nil, err
+}
+
+// readParts reads a body in parts. They are not copied while the answer grows: the garbage of
+// 50 answers of several megabytes would be more than the memory of a daemon. The whole copy
+// at the end takes room too if withCopy is set.
+func readParts(ctx context.Context, r io.Reader, withCopy bool, room *held.Answer) ([]byte, error) {
+	size, length := firstPartBytes, 0
 	var parts [][]byte
 	for {
-		part, err := readPart(b, make([]byte, size))
-		parts = append(parts, part)
+		var err error
+		if length == 0 {
+			err = room.Count(size)
+		} else {
+			err = room.Grow(ctx, size)
+		}
+		if err != nil {
+			return nil, err
+		}
+		part, err := readPart(r, make([]byte, size))
+		parts, length = append(parts, part), length+len(part)
 		if err == io.EOF {
-			return joinParts(parts), nil
+			break
 		}
 		if err != nil {
 			return nil, err
 		}
 		size = partBytes
 	}
+	if len(parts) == 1 {
+		return parts[0], nil
+	}
+	if withCopy {
+		if err := room.Grow(ctx, length); err != nil {
+			return nil, err
+		}
+		defer room.Shrink(length)
+	}
+	return bytes.Join(parts, nil), nil
 }
 
 // readPart reads until a part is full or the reader ends. It returns io.EOF only if the
@@ -65,21 +114,11 @@
 	return part, nil
 }
 
-// joinParts returns the bytes of all parts in one slice.
-func joinParts(parts [][]byte) []byte {
-	if len(parts) == 1 {
-		return parts[0]
-	}
-	return bytes.Join(parts, nil)
-}
-
-// boundedReader fails when an answer, or all answers together, become too long. A plain
-// limit would end the body as if it were complete.
+// boundedReader fails when an answer becomes too long. A plain limit would end the body as if
+// it were complete.
 type boundedReader struct {
-	r        io.Reader
-	buffered *atomic.Int64
-	read     int64
-	counted  int64 // bytes added to buffered
+	r    io.Reader
+	read int64
 }
 
 // Read implements io.Reader.
@@ -89,15 +128,5 @@
 	if b.read > maxAnswerBytes {
 		return n, errAnswerTooLong
 	}
-	if b.read >= minBudgetedBytes {
-		added := b.read - b.counted
-		b.counted = b.read
-		if b.buffered.Add(added) > maxBufferedBytes {
-			return n, errAnswerMemory
-		}
-	}
 	return n, err
 }
-
-// release subtracts the bytes of the answer from those of all answers.
-func (b *boundedReader) release() { b.buffered.Add(-b.counted) }
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/hop"
 	"github.com/burdockfold/burdockfold/internal/httpconn"
 )
@@ -41,7 +42,7 @@
 	clock ident.Clock
 	limit int // maximum number of connections in use at once
 
-	buffered atomic.Int64 // bytes of long answers that are being read
+	memory *held.Memory // of the answers
 
 	mu     sync.Mutex // guards pool and target
 	pool   *httpconn.Pool
@@ -50,9 +51,13 @@
 
 // NewClient returns a client that opens at most limit connections at a time.
 func NewClient(names hop.HeaderNames, limit int, clock ident.Clock) *Client {
-	return &Client{names: names, limit: limit, clock: clock}
+	return &Client{names: names, limit: limit, clock: clock, memory: &held.Memory{}}
 }
 
+// UseMemory makes the client hold its answers in a memory that others share. It must be called
+// before Do.
+func (c *Client) UseMemory(m *held.Memory) { c.memory = m }
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -111,7 +116,7 @@
 	case err != nil:
 		return hop.FailedAnswer(dialError(err)), false
 	}
-	x := &exchange{names: &c.names, conn: conn, req: r, target: to, buffered: &c.buffered}
+	x := &exchange{ctx: ctx, names: &c.names, conn: conn, req: r, target: to, memory: c.memory}
 	stopCancel := context.AfterFunc(ctx, func() {
 		x.canceled.Store(true)
 		_ = conn.SetDeadline(time.Unix(1, 0))
@@ -144,8 +149,9 @@
 	conn     *httpconn.Conn
 	req      *hop.Request
 	target   Server
-	buffered *atomic.Int64 // see Client.buffered
-	canceled atomic.Bool   // the request's context ended
+	memory   *held.Memory // see Client.memory
+	ctx      context.Context
+	canceled atomic.Bool // the request's context ended
 }
 
 // run sends the request and reads its answer. keep reports whether the connection
--- a/internal/origin/client_test.go
+++ b/internal/origin/client_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,8 +13,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/burdockfold/burdockfold/internal/core/heldmem"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/hop"
 )
 
@@ -104,6 +107,19 @@
 	}
 }
 
+// A request that ran and whose answer finds no room is no refusal.
+func TestAnswerWithoutRoom(t *testing.T) {
+	clock := ident.NewMonotonicClock()
+	client := NewClient(names, 2, clock)
+	defer client.Close()
+	client.UseMemory(held.New(heldmem.Limits{Total: 1 << 16, Over: 1 << 17, Bodies: 1, Answers: 1 << 20, Reading: 1 << 20, Garbage: 1 << 40, Heap: 1, CutAfter: time.Millisecond, GiveUp: 5 * time.Millisecond}))
+	long := "HTTP/1.1 200 OK\r\nId: a\r\nSignature: s\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("a", 100_000)
+	r := &hop.Request{ID: "a", Method: "GET", URI: "/", Host: "h", Key: hop.NoKey, Deadline: clock.Now().Add(5 * time.Second)}
+	a := client.Do(context.Background(), Server{Addr: startScriptedServer(t, long), ID: "i"}, r)
+	assert.Equal(t, a.Failure.Kind, errkind.AnswerCut)
+	assert.Equal(t, a.Failure.Answer().Truth, errkind.Unknown)
+}
+
 // A connection that carries bytes after the answer is closed, not reused: the bytes
 // would be read as the answer to the next request.
 func TestExtraBytesCloseConnection(t *testing.T) {
--- a/internal/origin/fuzz_test.go
+++ b/internal/origin/fuzz_test.go
@@ -3,10 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"net"
-	"sync/atomic"
 	"testing"
 
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/hop"
 	"github.com/burdockfold/burdockfold/internal/httpconn"
 )
@@ -20,15 +21,16 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		client, server := net.Pipe()
 		defer func() { _, _ = client.Close(), server.Close() }()
-		var buffered atomic.Int64
+		var memory held.Memory
 		conn := &httpconn.Conn{Conn: client, R: bufio.NewReader(bytes.NewReader(data)), W: bufio.NewWriter(client), WrittenBytes: 1}
-		x := &exchange{names: &names, conn: conn, req: &hop.Request{ID: "a", Method: "GET"}, buffered: &buffered}
+		x := &exchange{names: &names, conn: conn, req: &hop.Request{ID: "a", Method: "GET"}, memory: &memory, ctx: context.Background()}
 		a, _ := x.receive()
 		if a.Failure == nil && a.Status < 300 && (!bytes.Contains(bytes.ToLower(data), []byte("signature")) || !bytes.Contains(data, []byte("a"))) {
 			t.Fatalf("status %d from %q", a.Status, data)
 		}
-		if buffered.Load() != 0 {
-			t.Fatalf("%d bytes stay counted", buffered.Load())
+		a.Room.Release()
+		if total, _, answers := memory.Bytes(); total != 0 || answers != 0 {
+			t.Fatalf("%d and %d bytes stay counted", total, answers)
 		}
 	})
 }
--- a/internal/origin/receive.go
+++ b/internal/origin/receive.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/hop"
 	"github.com/burdockfold/burdockfold/internal/httpconn"
 )
@@ -29,17 +30,22 @@
 		if err := x.readHeader(h); err != nil {
 			return x.fail(err), false
 		}
-		body, keep, err := x.readBody(h)
+		body, room, keep, err := x.readBody(h)
 		if err != nil {
 			return x.withStatement(x.incompleteAnswer(h, err), h), false
 		}
 		if x.namesOtherRequest(h) {
+			room.Release()
 			if !keep {
 				break
 			}
 			continue
 		}
-		return x.withStatement(x.checkAnswer(h, body), h), keep && x.conn.R.Buffered() == 0
+		a := x.withStatement(x.checkAnswer(h, body), h)
+		if a.Room = room; a.Failure != nil {
+			a.Room.Release()
+		}
+		return a, keep && x.conn.R.Buffered() == 0
 	}
 	return hop.FailedAnswer(errkind.New(errkind.OutcomeUnknown, "only answers to other requests came")), false
 }
@@ -88,22 +94,22 @@
 
 // readBody reads the body of an answer. keep is false if the connection ends with
 // the body.
-func (x *exchange) readBody(h *fasthttp.ResponseHeader) (body []byte, keep bool, err error) {
+func (x *exchange) readBody(h *fasthttp.ResponseHeader) (body []byte, room held.Answer, keep bool, err error) {
 	x.conn.IdleLimit = idleLimit(headerValue(h, fasthttp.HeaderKeepAlive))
 	keep = !h.ConnectionClose()
 	status := h.StatusCode()
 	if x.req.Method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return nil, keep, nil
+		return nil, room, keep, nil
 	}
 	r, n, err := httpconn.NewBodyReader(x.conn.R, h)
 	if errors.Is(err, httpconn.ErrNoLength) {
-		r, keep, err = x.conn.R, false, nil
+		r, n, keep, err = x.conn.R, -1, false, nil
 	}
 	if err != nil {
-		return nil, false, err
+		return nil, room, false, err
 	}
-	body, err = readWhole(r, n, x.buffered)
-	return body, keep && err == nil, err
+	body, room, err = readWhole(x.ctx, r, n, x.memory)
+	return body, room, keep && err == nil, err
 }
 
 // idleLimit returns how long the client may keep a connection idle, given the
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -86,6 +86,8 @@
 	MemoryMB int     `yaml:"memory_mb"` // the process is killed above it
 	LinkMbps float64 `yaml:"link_mbps"` // of the host's link, in each direction
 	CPUShare float64 `yaml:"cpu_share"` // of one core
+
+	UnreadTime time.Duration `yaml:"unread_time"` // a caller that takes nothing of its answer for this long is cut off
 }
 
 // DefaultSidecar returns the settings that apply where the file sets none.
@@ -112,6 +114,7 @@
 		Retries:   Retries{Window: 10 * time.Second, Ratio: 0.2, Allowance: 50},
 		Drain:     Drain{ServerTime: 2500 * time.Millisecond, GraceTime: 6 * time.Second},
 		Cold:      Cold{Factor: 1},
+		Resources: Resources{UnreadTime: 10 * time.Second}, // longer than a caller's own pauses
 		Telemetry: Telemetry{LogLevel: "info", TraceExporter: TraceNone, TraceRatio: 0.01, Metrics: true},
 	}
 }
@@ -155,6 +158,7 @@
 		{"ownership.hold", o.Hold}, {"ownership.suspect_after", o.SuspectAfter}, {"ownership.settle", o.Settle}, {"ownership.settle_max", o.SettleMax},
 		{"ownership.stagger", o.Stagger}, {"ownership.balance_every", o.BalanceEvery}, {"ownership.balance_rest", o.BalanceRest},
 		{"retries.window", s.Retries.Window}, {"drain.server_time", s.Drain.ServerTime}, {"drain.grace_time", s.Drain.GraceTime},
+		{"resources.unread_time", s.Resources.UnreadTime},
 	} {
 		checkDuration(&p, d.path, d.d)
 	}
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/admission"
 	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/balance"
+	"github.com/burdockfold/burdockfold/internal/core/heldmem"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/quarantine"
@@ -27,6 +29,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/sharedread"
 	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/edge"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/hop"
 	"github.com/burdockfold/burdockfold/internal/mesh"
 	"github.com/burdockfold/burdockfold/internal/netlimit"
@@ -84,6 +87,9 @@
 	service  atomic.Pointer[ident.Service] // service on this host according to the settings
 	stopping atomic.Bool
 	bounds   *hop.Stop // of the requests, while the daemon stops
+
+	limits heldmem.Limits // of memory
+	memory *held.Memory   // what is held for others
 }
 
 // New returns a daemon that has not opened its ports yet.
@@ -93,7 +99,9 @@
 		member: ident.Member{Host: cfg.Host.Name, Incarnation: ident.Incarnation(time.Now().UnixMilli())},
 		clock:  ident.NewMonotonicClock(),
 		bounds: hop.NewStop(),
+		limits: heldmem.LimitsOf(int64(cfg.Resources.MemoryMB) * 1_000_000),
 	}
+	d.memory = held.New(d.limits)
 	d.service.Store(&cfg.Service)
 	d.gate = admitting.NewGate(admission.DefaultConfig(initialSlots), d.clock)
 	if err := d.buildMetrics(); err != nil {
@@ -134,7 +142,7 @@
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	d.telemetry = p
-	d.metrics, err = newMetrics(p.Meter(), func() (int, int) { l := d.gate.SlotUsage(); return l.Running, l.Waiting }, func() float64 { return d.server.limit() })
+	d.metrics, err = newMetrics(p.Meter(), func() (int, int) { l := d.gate.SlotUsage(); return l.Running, l.Waiting }, func() float64 { return d.server.limit() }, d.memory)
 	if err != nil {
 		return err
 	}
@@ -217,8 +225,11 @@
 	if err != nil {
 		return fmt.Errorf("sidecar: %w", err)
 	}
-	bodies := &hop.BodyBudget{}
+	maxConns = d.limits.Connections(maxConns)
 	d.origin = origin.NewClient(d.adapter.HeaderNames, maxServerConnections, d.clock)
+	d.origin.UseMemory(d.memory)
+	hops := hop.NewClient(d.mesh, d.clock)
+	hops.UseMemory(d.memory)
 	crashes := &crashWatch{server: d.server, accepts: d.origin.Accepts, clock: d.clock, metrics: d.metrics, log: d.log, onCrash: d.suspects.recordCrash, runs: quarantine.NewRuns()}
 	d.executor = &executor{server: d.server, ownership: d.ownership, gate: d.gate, client: d.origin, crashes: crashes, suspects: d.suspects, stop: d.bounds, clock: d.clock, metrics: d.metrics, log: d.log}
 	targetChooser := &chooser{
@@ -228,14 +239,15 @@
 		rng:       rand.New(rand.NewPCG(uint64(d.member.Incarnation), uint64(os.Getpid()))),
 	}
 	budget := edge.Budget{Window: d.cfg.Retries.Window, Ratio: d.cfg.Retries.Ratio, Allowance: d.cfg.Retries.Allowance}
-	dispatcher := edge.NewDispatcher(d.member.Host, targetChooser, d.executor, hop.NewClient(d.mesh, d.clock), budget, d.metrics, d.clock, d.log)
+	dispatcher := edge.NewDispatcher(d.member.Host, targetChooser, d.executor, hops, budget, d.metrics, d.clock, d.log)
 	if d.telemetry.Tracing() {
 		d.executor.tracer = hop.NewTracer(d.telemetry.Tracer())
 		dispatcher.SetTracer(d.executor.tracer)
 	}
 	caller := func() string { return string(*d.service.Load()) }
-	d.edge = edge.NewServer(d.adapter.HeaderNames, d.configs, dispatcher, caller, maxConns, bodies, d.bounds, d.clock, d.log)
-	d.hop = hop.NewServer(d.executor, bodies, d.clock, d.log)
+	d.edge = edge.NewServer(d.adapter.HeaderNames, d.configs, dispatcher, caller, maxConns, d.memory, d.bounds, d.clock, d.log)
+	d.edge.SetUnreadTime(d.cfg.Resources.UnreadTime)
+	d.hop = hop.NewServer(d.executor, d.memory, d.clock, d.log)
 	d.mesh.SetHandlers(d.peers, d.hop)
 	return nil
 }
@@ -260,6 +272,9 @@
 	}
 	d.log.Info("daemon_started", telemetry.Member(d.member), telemetry.Region(d.cfg.Host.Region),
 		telemetry.FailureDomain(d.cfg.Host.FailureDomain), telemetry.Service(d.cfg.Service))
+	if d.limits.Known() {
+		defer debug.SetMemoryLimit(debug.SetMemoryLimit(d.limits.Heap))
+	}
 	g := duty.NewGroup(context.Background())
 	d.startDuties(g, ports)
 	select {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -13,6 +13,7 @@
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/logservice"
 )
 
@@ -40,7 +41,7 @@
 
 // newMetrics creates the instruments. gate returns the current use of the slots, limit
 // the requests per second that the backend server accepts, zero if it states no limit.
-func newMetrics(m metric.Meter, gate func() (running, waiting int), limit func() float64) (*metrics, error) {
+func newMetrics(m metric.Meter, gate func() (running, waiting int), limit func() float64, memory *held.Memory) (*metrics, error) {
 	var out metrics
 	var errs []error
 	counter := func(name, description string) metric.Int64Counter {
@@ -79,7 +80,22 @@
 			o.Observe(limit())
 			return nil
 		}))
-	if err := errors.Join(append(errs, err, limitErr)...); err != nil {
+	_, heldErr := m.Int64ObservableGauge("burdock_held_bytes", metric.WithDescription("bytes held for callers, other daemons and the backend server"), metric.WithUnit("By"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			total, bodies, answers := memory.Bytes()
+			o.Observe(bodies, metric.WithAttributes(attribute.String("kind", "bodies")))
+			o.Observe(answers, metric.WithAttributes(attribute.String("kind", "answers")))
+			o.Observe(total-bodies-answers, metric.WithAttributes(attribute.String("kind", "other")))
+			return nil
+		}))
+	_, cutErr := m.Int64ObservableCounter("burdock_readers_cut", metric.WithDescription("readers of answers that were cut off, by reason"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			slow, unread := memory.Cuts()
+			o.Observe(slow, metric.WithAttributes(attribute.String("reason", "memory")))
+			o.Observe(unread, metric.WithAttributes(attribute.String("reason", "unread")))
+			return nil
+		}))
+	if err := errors.Join(append(errs, err, limitErr, heldErr, cutErr)...); err != nil {
 		return nil, fmt.Errorf("sidecar: metrics: %w", err)
 	}
 	return &out, nil
