httpconn: an answer whose status is none reaches nobody as an answer

Cause: the HTTP library takes 000 for 200, 0200 for 200 and 600 and above for a status; beside a field that states a refusal, 000 passed for a promise that the request has not run. Grants and commands that a server answered with 000 counted as carried out. Another daemon's answer was taken with any number.

Change: httpconn.CheckStatus examines the status line before the library reads it: three digits, 100 to 599 without 101. A status of another daemon's answer that is not final is PeerProtocol.

--- a/internal/backend/commands.go
+++ b/internal/backend/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/httpconn"
 )
 
 const (
@@ -43,7 +45,7 @@
 	return &CommandSender{
 		self:     self,
 		registry: registry,
-		client:   &fasthttp.Client{NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1},
+		client:   &fasthttp.Client{Dial: dialServer, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1},
 		cancels:  duty.NewRing[cancellation](cancelQueueSize, duty.DropOldest),
 		log:      log,
 	}
@@ -68,6 +70,15 @@
 	return nil
 }
 
+// dialServer connects to a backend server.
+func dialServer(addr string) (net.Conn, error) {
+	c, err := fasthttp.Dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return httpconn.NewStatusConn(c), nil
+}
+
 // Cancel implements Canceler. It queues the cancellation and returns at once.
 func (s *CommandSender) Cancel(addr, requestID string) {
 	s.cancels.Put(context.Background(), cancellation{addr: addr, requestID: requestID})
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -128,10 +128,14 @@
 // answers (status 1xx).
 func readHeader(x *exchange, h *fasthttp.ResponseHeader) error {
 	for {
+		status, err := httpconn.CheckStatus(x.conn.R)
+		if err != nil {
+			return err
+		}
 		if err := h.Read(x.conn.R); err != nil {
 			return err
 		}
-		if h.StatusCode() >= fasthttp.StatusOK {
+		if status >= fasthttp.StatusOK {
 			return nil
 		}
 	}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -103,3 +103,26 @@
 type answerAtOnce struct{}
 
 func (answerAtOnce) Serve(context.Context, *Request) *Answer { return &Answer{Status: 200} }
+
+// statusAnswer implements Handler.
+type statusAnswer int
+
+func (s statusAnswer) Serve(context.Context, *Request) *Answer { return &Answer{Status: int(s)} }
+
+// An answer of another daemon whose status is none is a fault of the protocol.
+func TestAnswerOfNoStatusIsRejected(t *testing.T) {
+	clock := ident.NewMonotonicClock()
+	for _, status := range []int{-200, 0, 99, 101, 199, 600, 2000, 599} {
+		a, _ := startMesh(t, "a", nil)
+		b, to := startMesh(t, "b", nil)
+		b.SetHandlers(noControl{}, NewServer(statusAnswer(status), &BodyBudget{}, clock, zap.NewNop()))
+		got := NewClient(a, clock).Send(context.Background(), to, &Request{Key: NoKey, Deadline: clock.Now().Add(time.Second)})
+		if status == 599 {
+			assert.Assert(t, got.Failure == nil, "%v", got.Failure)
+			continue
+		}
+		assert.Assert(t, got.Failure != nil, "status %d", status)
+		assert.Equal(t, got.Failure.Kind, errkind.PeerProtocol)
+		assert.Equal(t, got.Failure.Answer().Truth, errkind.Unknown)
+	}
+}
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -56,6 +56,9 @@
 	}
 	defer func() { _ = stream.Body().Close() }()
 	a, size, err := decodeAnswer(stream.Head(), c.clock.Now())
+	if err == nil {
+		err = checkStatus(a)
+	}
 	if err != nil {
 		return FailedAnswer(errkind.New(errkind.PeerProtocol, "%w", err))
 	}
--- a/internal/hop/wire.go
+++ b/internal/hop/wire.go
@@ -5,6 +5,8 @@
 	"math"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/burdockfold/burdockfold/internal/codec"
 	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
@@ -86,6 +88,9 @@
 	RetryMS int64
 }
 
+// maxStatus is the greatest status of an answer.
+const maxStatus = 599
+
 // inlineBytes is the maximum length of a body that is sent in the head. A body in the
 // head saves a few frames per request. The value is well below the mesh's limit on the
 // size of a head.
@@ -196,6 +201,14 @@
 	return a, w.BodySize, nil
 }
 
+// checkStatus returns an error if an answer that is no failure has a status of no final answer.
+func checkStatus(a *Answer) error {
+	if a.Failure == nil && (a.Status < fasthttp.StatusOK || a.Status > maxStatus) {
+		return fmt.Errorf("hop: answer of status %d", a.Status)
+	}
+	return nil
+}
+
 // limitSuspicion returns the suspicion that a peer states, or the nearest one that is possible.
 func limitSuspicion(n int) int { return min(max(n, 0), maxSuspicion) }
 
--- /dev/null
+++ b/internal/httpconn/status.go
@@ -0,0 +1,96 @@
+package httpconn
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+)
+
+// ErrStatusLine means that an answer does not begin with the status line of one.
+var ErrStatusLine = errors.New("httpconn: no status line of an answer")
+
+// statusLineStart is the length of the part of a status line that is examined.
+const statusLineStart = len("HTTP/1.1 200")
+
+// CheckStatus examines the status line of the next answer without reading it, after any empty
+// lines, which it skips. It returns the status, which has three digits, from 100 to 599 without
+// 101, since nobody asks for another protocol. HTTP parsers take more than that for a status.
+func CheckStatus(r *bufio.Reader) (int, error) {
+	for {
+		b, err := r.Peek(1)
+		if err != nil {
+			return 0, err
+		}
+		if b[0] != '\r' && b[0] != '\n' {
+			break
+		}
+		if _, err := r.Discard(1); err != nil {
+			return 0, err
+		}
+	}
+	line, err := r.Peek(statusLineStart + 1)
+	if i := bytes.IndexByte(line[:min(len(line), statusLineStart)], '\n'); i >= 0 {
+		return 0, fmt.Errorf("%w: %q", ErrStatusLine, line[:i])
+	}
+	if err != nil {
+		return 0, err
+	}
+	return parseStatus(line)
+}
+
+// parseStatus returns the status in the start of a status line and the byte after it.
+func parseStatus(line []byte) (int, error) {
+	version, code, after := line[:len("HTTP/1.1")], line[len("HTTP/1.1 "):statusLineStart], line[statusLineStart]
+	valid := bytes.Equal(version, []byte("HTTP/1.1")) || bytes.Equal(version, []byte("HTTP/1.0"))
+	valid = valid && line[len(version)] == ' ' && (after == ' ' || after == '\r' || after == '\n')
+	status := 0
+	for _, c := range code {
+		valid = valid && '0' <= c && c <= '9'
+		status = 10*status + int(c-'0')
+	}
+	if !valid || status < 100 || status > 599 || status == 101 {
+		return 0, fmt.Errorf("%w: %q", ErrStatusLine, line)
+	}
+	return status, nil
+}
+
+// StatusConn is a connection to a backend server that checks the status line of each answer,
+// for HTTP clients that take other lines for answers too. An interim answer fails: the calls
+// that use it ask for none. Requests and answers alternate.
+type StatusConn struct {
+	net.Conn
+	r      *bufio.Reader
+	asking bool // a request was written whose answer has not begun
+}
+
+// NewStatusConn returns a StatusConn on top of c.
+func NewStatusConn(c net.Conn) *StatusConn {
+	return &StatusConn{Conn: c, r: bufio.NewReaderSize(c, statusConnBuffer)}
+}
+
+// statusConnBuffer is large enough for the part of a status line that is examined; longer reads
+// pass it by.
+const statusConnBuffer = 64
+
+// Write implements net.Conn.
+func (c *StatusConn) Write(p []byte) (int, error) {
+	c.asking = true
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *StatusConn) Read(p []byte) (int, error) {
+	if c.asking {
+		status, err := CheckStatus(c.r)
+		if err == nil && status < 200 {
+			err = fmt.Errorf("%w: interim status %d", ErrStatusLine, status)
+		}
+		if err != nil {
+			return 0, err
+		}
+		c.asking = false
+	}
+	return c.r.Read(p)
+}
--- a/internal/origin/client_test.go
+++ b/internal/origin/client_test.go
@@ -107,6 +107,24 @@
 	}
 }
 
+// A status that is none never reaches a caller as an answer nor promises that the request has
+// not run, also beside a field that states it; an interim answer is not the final one.
+func TestAnswersOfNoStatus(t *testing.T) {
+	const rest = " Text\r\nId: a\r\nSignature: s\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\nhi"
+	for _, status := range []string{"000", "099", "101", "199", "600", "999", "+20", "-20", " 20", "2 0", "20", "0200", "2000", "20x", "OK", ""} {
+		clock := ident.NewMonotonicClock()
+		client := NewClient(names, 2, clock)
+		for _, fields := range []string{rest, strings.Replace(rest, "Not-Run: 1\r\n", "", 1)} {
+			r := &hop.Request{ID: "a", Method: "GET", URI: "/", Host: "h", Key: hop.NoKey, Deadline: clock.Now().Add(5 * time.Second)}
+			a := client.Do(context.Background(), Server{Addr: startScriptedServer(t, "HTTP/1.1 "+status+fields+"!"), ID: "i"}, r)
+			assert.Assert(t, a.Failure != nil, "status %q became %d", status, a.Status)
+			assert.Equal(t, a.Failure.Answer().Truth, errkind.Unknown, "status %q", status)
+			assert.Assert(t, a.ReachedBackend)
+		}
+		client.Close()
+	}
+}
+
 // A request that ran and whose answer finds no room is no refusal.
 func TestAnswerWithoutRoom(t *testing.T) {
 	clock := ident.NewMonotonicClock()
--- a/internal/origin/receive.go
+++ b/internal/origin/receive.go
@@ -53,10 +53,14 @@
 // readHeader reads the header of a final answer and skips informational (1xx) ones.
 func (x *exchange) readHeader(h *fasthttp.ResponseHeader) error {
 	for range maxInformational {
+		status, err := httpconn.CheckStatus(x.conn.R)
+		if err != nil {
+			return err
+		}
 		if err := h.Read(x.conn.R); err != nil {
 			return err
 		}
-		if h.StatusCode() >= fasthttp.StatusOK {
+		if status >= fasthttp.StatusOK {
 			return nil
 		}
 	}
