--- a/internal/core/balance/choice.go
+++ b/internal/core/balance/choice.go
@@ -15,6 +15,7 @@
 	Target   time.Duration // time left to answer within the target latency, negative if it has passed; zero without a target
 	Deadline time.Duration // time left until the caller gives up
 	Choosers int           // daemons that choose among the servers
+	LongBody bool          // the body waits for the link of a host that has a slow one
 }
 
 // Best returns the index of the option that is expected to serve a request best, or -1 if
@@ -164,7 +165,7 @@
 		if c.option.Distance != distance {
 			continue
 		}
-		c.view = e.viewOf(now, c, mean, d.Choosers)
+		c.view = e.viewOf(now, c, mean, &d)
 		c.cost = e.cost(c.option, c.view)
 		// No server is drawn more for being fast: it may answer with errors.
 		weight := c.capacity * max(1-c.view.use, minDrawWeight) / max(c.view.expected, 1)
--- a/internal/core/balance/estimate.go
+++ b/internal/core/balance/estimate.go
@@ -27,6 +27,7 @@
 	Failure            time.Duration // what a failed request costs its caller
 	ReportHalfLife     time.Duration // age at which a load report counts half
 	RefusalHalfLife    time.Duration // age at which a refusal counts half
+	DelayHalfLife      time.Duration // age at which a delay on the way counts half
 	RetryInterval      time.Duration // time between two requests to an unreachable server
 }
 
@@ -41,6 +42,7 @@
 		Failure:            400 * time.Millisecond,
 		ReportHalfLife:     time.Second,
 		RefusalHalfLife:    time.Second,
+		DelayHalfLife:      time.Second,
 		RetryInterval:      time.Second,
 	}
 }
@@ -70,17 +72,21 @@
 // Report is what the daemon beside a server says of its load with an answer.
 type Report struct {
 	Running, Waiting, Slots int
-	Room                    float64 // requests at once that the server takes well; zero if unknown
-	Pace                    float64 // service time now relative to the usual one; zero if unknown
+	Room                    float64       // requests at once that the server takes well; zero if unknown
+	Pace                    float64       // service time now relative to the usual one; zero if unknown
+	LinkWait                time.Duration // that a long body waits for the link of the server's host
 }
 
 // Outcome is the end of a request.
 type Outcome struct {
 	Failed      bool
+	NoVerdict   bool // says nothing of how the server runs requests, only what its report says
 	Refused     bool // not run for lack of room; implies Failed
+	Distance    Distance
 	Report      Report
 	Route       string
 	ServiceTime time.Duration // zero if unknown
+	Way         time.Duration // spent on the way there and back, or at least that if no answer came; zero if unknown
 	Bytes       int           // of the answer's body
 }
 
@@ -89,7 +95,10 @@
 	inFlight    int     // requests of this daemon
 	othersUsage float64 // slots in use and waiting requests of other daemons, as last reported
 	room, pace  float64 // as last reported
+	linkWait    float64 // as last reported, in seconds
 	reportedAt  ident.Instant
+	delay       float64 // smoothed time on the way beyond that of its distance, in seconds, at delayedAt
+	delayedAt   ident.Instant
 	slowness    float64 // mean of its service times, each divided by the mean of all servers for the route
 	failureRate float64 // smoothed fraction of failed requests
 	refusalRate float64 // smoothed fraction of requests that it had no room for, at refusedAt
@@ -161,14 +170,15 @@
 	slowness float64 // service time relative to that of all servers; one for usual differences
 	expected float64 // the same with usual differences
 	failures float64 // fraction of requests that fail or are refused
+	delay    float64 // expected beyond the usual way there and back, in seconds
 	blocked  bool    // unreachable, and not to be tried again yet
 }
 
-// viewOf returns the view of a candidate, given the mean use by other daemons of the servers
-// around it. Its own report counts less with its age: other daemons have acted on reports of
-// their own since, and if each daemon took a silent server for an idle one, they would all
+// viewOf returns the view of a candidate for a demand, given the mean use by other daemons of the
+// servers around it. Its own report counts less with its age: other daemons have acted on
+// reports of their own since, and if each daemon took a silent server for an idle one, they would all
 // choose the same.
-func (e *Estimator) viewOf(now ident.Instant, c *candidate, meanOthers float64, choosers int) view {
+func (e *Estimator) viewOf(now ident.Instant, c *candidate, meanOthers float64, d *Demand) view {
 	o, s, capacity, fresh := c.option, c.seen, c.capacity, c.fresh
 	inFlight := float64(s.inFlight)
 	limit := o.limit()
@@ -185,6 +195,14 @@
 	if s.refusalRate > 0 {
 		v.failures = min(v.failures+s.refusalRate*decay(now.Sub(s.refusedAt), e.costs.RefusalHalfLife), 1)
 	}
+	if s.delay > 0 {
+		if late := s.delay * decay(now.Sub(s.delayedAt), e.costs.DelayHalfLife); late > delayThreshold.Seconds() {
+			v.delay = late
+		}
+	}
+	if d.LongBody {
+		v.delay += fresh * s.linkWait
+	}
 	if s.slowness > slownessThreshold {
 		v.slowness = s.slowness
 	}
@@ -198,7 +216,7 @@
 	if o.Cold && o.ColdRate > 0 {
 		// Nobody coordinates the daemons: each sends its part of the rate, as if the others did
 		// the same.
-		interval := float64(max(choosers, 1)) / limit
+		interval := float64(max(d.Choosers, 1)) / limit
 		v.use = max((float64(s.inFlight)+fresh*s.othersUsage)/capacity, interval/max(now.Sub(s.lastSent), time.Millisecond).Seconds())
 	}
 	return v
@@ -209,7 +227,7 @@
 	if v.blocked {
 		return math.MaxFloat64
 	}
-	cost := v.failures * e.costs.Failure.Seconds()
+	cost := v.failures*e.costs.Failure.Seconds() + v.delay
 	if o.Distance == SameRegion {
 		cost += e.costs.CrossDomain.Seconds()
 	}
@@ -224,13 +242,8 @@
 	if v.blocked {
 		return math.MaxFloat64
 	}
-	t := v.failures * e.costs.Failure.Seconds()
-	switch o.Distance {
-	case SameRegion:
-		t += e.costs.CrossDomain.Seconds()
-	case OtherRegion:
-		t += e.costs.RegionRoundTrip.Seconds()
-	}
+	t := v.failures*e.costs.Failure.Seconds() + v.delay
+	t += e.usualWay(o.Distance).Seconds()
 	service := e.costs.DefaultServiceTime.Seconds()
 	if r := e.routes[route]; r != nil && r.serviceTime > 0 {
 		service = r.serviceTime
@@ -265,10 +278,14 @@
 	s.inFlight = max(s.inFlight-1, 0)
 	if r := o.Report; r.Slots > 0 { // otherwise the daemon beside the server said nothing
 		s.othersUsage, s.reportedAt = max(float64(r.Running+r.Waiting-s.inFlight), 0), now
-		s.room, s.pace = r.Room, r.Pace
+		s.room, s.pace, s.linkWait = r.Room, r.Pace, r.LinkWait.Seconds()
 		use := min(float64(r.Running+r.Waiting)/float64(r.Slots), maxReportedUse)
 		e.slowdown += routeSmoothing * (slowdownAt(use) - e.slowdown)
 	}
+	e.recordDelay(now, s, o)
+	if o.NoVerdict {
+		return
+	}
 	refused := 0.0
 	if o.Refused {
 		refused = 1
@@ -288,6 +305,40 @@
 	}
 }
 
+// delayThreshold is the delay above which a way counts as delayed. Less is the normal
+// variation of a network and of the daemons' own work.
+const delayThreshold = 20 * time.Millisecond
+
+// delaySmoothing is the weight of one observation in the delay of a way. A slow host or a full
+// link delays every message for seconds, so that few observations suffice.
+const delaySmoothing = 0.3
+
+// recordDelay adds the time on the way of an outcome to the delay of a server's daemon: its
+// host may be short of processor time, or the link to it full. Neither shows in its reports.
+func (e *Estimator) recordDelay(now ident.Instant, s *observation, o Outcome) {
+	if o.Way == 0 {
+		return
+	}
+	s.delay *= decay(now.Sub(s.delayedAt), e.costs.DelayHalfLife)
+	s.delayedAt = now
+	x := max(o.Way-e.usualWay(o.Distance), 0).Seconds()
+	if o.Failed && x < s.delay {
+		return // no answer came: the way may have taken longer
+	}
+	s.delay += delaySmoothing * (x - s.delay)
+}
+
+// usualWay returns the time there and back at a distance.
+func (e *Estimator) usualWay(d Distance) time.Duration {
+	switch d {
+	case SameRegion:
+		return e.costs.CrossDomain
+	case OtherRegion:
+		return e.costs.RegionRoundTrip
+	}
+	return 0
+}
+
 // updateRoute adds an answer to the means of its route and returns the new mean service time
 // in seconds.
 func (e *Estimator) updateRoute(o Outcome) float64 {
--- a/internal/core/balance/estimate_test.go
+++ b/internal/core/balance/estimate_test.go
@@ -77,7 +77,7 @@
 	}
 	costOf := func(o Option) float64 {
 		e.collect(now, []Option{o}, []Distance{SameDomain})
-		return e.cost(&o, e.viewOf(now, &e.candidates[0], 0, 1))
+		return e.cost(&o, e.viewOf(now, &e.candidates[0], 0, &Demand{Choosers: 1}))
 	}
 	costs := []float64{costOf(Option{Host: "a", Slots: 4}), costOf(Option{Host: "b", Slots: 4})}
 	assert.Assert(t, costs[1] < 1.1*costs[0], "%v", costs)
--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -16,6 +16,7 @@
 		return nil
 	}
 	slices.SortFunc(cs, func(x, y Candidate) int { return cmp.Compare(x.Owner.Member.Host, y.Owner.Member.Host) })
+	cs = a.withoutEvacuated(cs)
 	if a.reopen.due {
 		return a.send(a.reopenTable(now, cs))
 	}
@@ -109,7 +110,7 @@
 // handOffAll plans handoffs of all rows of this daemon if the server is draining
 // or gone.
 func (a *Agent) handOffAll(now ident.Instant, cs []Candidate) {
-	if a.keepsServing(now) {
+	if a.keepsServing(now) || a.spreadRows(cs) {
 		return
 	}
 	for _, r := range a.table.Rows {
@@ -125,9 +126,9 @@
 }
 
 // keepsServing reports whether the server continues to hold keys: it is not
-// draining, and its heartbeats arrive.
+// draining, its failure domain is not evacuated, and its heartbeats arrive.
 func (a *Agent) keepsServing(now ident.Instant) bool {
-	if a.draining || a.serverLost {
+	if a.draining || a.serverLost || a.evacuated {
 		return false
 	}
 	return now.Sub(max(a.heartbeatAt, a.startedAt)) <= a.cfg.withDrift(a.cfg.MaxHold)
@@ -152,6 +153,7 @@
 // receiver is gone.
 func (a *Agent) writeHandoffs(now ident.Instant, cs []Candidate) *Write {
 	a.updateHandoffs(now, cs)
+	a.cancelCrowded(now)
 	t := a.table
 	for _, g := range a.handoffs {
 		if !a.isReleased(g.Span, now) || !a.ownsHandoff(g) || !a.mayHandOff(g, now) {
@@ -163,12 +165,32 @@
 		return nil
 	}
 	reason := "balance"
-	if !a.keepsServing(now) {
+	switch {
+	case a.evacuated:
+		reason = "evacuated"
+	case !a.keepsServing(now):
 		reason = "server_leaves"
 	}
 	return &Write{Table: t, Reason: reason}
 }
 
+// cancelCrowded cancels handoffs to owners that would have more than maxRowsPerOwner rows:
+// other daemons have handed them keys since the handoffs were planned. Keys of a server that
+// does not keep serving move all the same.
+func (a *Agent) cancelCrowded(now ident.Instant) {
+	if a.writeUnclear || !a.keepsServing(now) {
+		return
+	}
+	rows := make(map[Owner]int)
+	for _, r := range a.table.Rows {
+		rows[r.Owner]++
+	}
+	a.handoffs = slices.DeleteFunc(a.handoffs, func(g handoff) bool {
+		rows[g.to]++
+		return rows[g.to] > maxRowsPerOwner
+	})
+}
+
 // ownsHandoff reports whether the table still assigns every key of a handoff to
 // this host under the fencing token that the handoff was planned with.
 func (a *Agent) ownsHandoff(g handoff) bool {
@@ -273,7 +295,19 @@
 // withoutLimited returns the candidates that state no limit, or all of them if none of
 // those can receive keys.
 func withoutLimited(cs []Candidate) []Candidate {
-	out := slices.DeleteFunc(slices.Clone(cs), func(c Candidate) bool { return c.Limited })
+	return preferred(cs, func(c Candidate) bool { return !c.Limited })
+}
+
+// withoutCold is the same of the candidates that are not cold: a cold server could not serve
+// the requests for more keys.
+func withoutCold(cs []Candidate) []Candidate {
+	return preferred(cs, func(c Candidate) bool { return !c.Cold })
+}
+
+// preferred returns the candidates that satisfy a condition, or all of them if none of those
+// can receive keys.
+func preferred(cs []Candidate, condition func(Candidate) bool) []Candidate {
+	out := slices.DeleteFunc(slices.Clone(cs), func(c Candidate) bool { return !condition(c) })
 	if slices.ContainsFunc(out, func(c Candidate) bool { return c.Ready && c.Alive }) {
 		return out
 	}
@@ -285,7 +319,7 @@
 func (a *Agent) leastLoaded(cs []Candidate) (Candidate, bool) {
 	best, found, bestUse := Candidate{}, false, 0.0
 	others := slices.DeleteFunc(slices.Clone(cs), func(c Candidate) bool { return c.Owner.Member.Host == a.member.Host })
-	for _, c := range withoutLimited(others) {
+	for _, c := range withoutCold(withoutLimited(others)) {
 		if !c.Ready || !c.Alive {
 			continue
 		}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -53,6 +53,7 @@
 	NoRoute
 	Quarantined
 	RegionNotAllowed
+	CallsWithoutRoom
 	kindCount // number of kinds, not a kind
 )
 
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -27,12 +27,12 @@
 		}
 		now := ident.Instant(1)
 		r.Deadline = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "left")) * time.Millisecond)
-		head, rest, err := encodeRequest(r, now)
+		head, rest, err := encodeRequest(r, now, inlineBytes)
 		assert.NilError(t, err)
 		assert.Equal(t, len(rest), 0)
 		if rapid.Bool().Draw(t, "target") {
 			r.TargetTime = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "target_left")) * time.Millisecond)
-			head, _, err = encodeRequest(r, now)
+			head, _, err = encodeRequest(r, now, inlineBytes)
 			assert.NilError(t, err)
 		}
 		got, size, err := decodeRequest(head, now)
@@ -43,14 +43,20 @@
 }
 
 func TestAnswerSurvivesTheWire(t *testing.T) {
-	a := &Answer{Status: 200, Header: []Field{{"A", "b"}}, Body: []byte("x"), ReachedBackend: true, Load: Load{1, 2, 3}, ServiceTime: 5 * time.Millisecond, Suspicion: 2}
-	head, _, err := encodeAnswer(a, 1)
+	a := &Answer{Status: 200, Header: []Field{{"A", "b"}}, Body: []byte("x"), ReachedBackend: true, Load: Load{1, 2, 3, 4 * time.Millisecond, 4.5, 1.25}, ServiceTime: 5 * time.Millisecond, Suspicion: 2}
+	head, _, err := encodeAnswer(a, 1, inlineBytes)
 	assert.NilError(t, err)
 	got, _, err := decodeAnswer(head, 1)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, a)
 
-	head, _, err = encodeAnswer(FailedAnswer(errkind.New(errkind.NotOwner, "key %d", 3)), 1)
+	head, _, err = encodeAnswer(&Answer{Load: Load{Room: -3, Pace: 1e9}}, 1, inlineBytes) // a peer's statement is bounded
+	assert.NilError(t, err)
+	got, _, err = decodeAnswer(head, 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Load, Load{Pace: maxPacePercent / 100})
+
+	head, _, err = encodeAnswer(FailedAnswer(errkind.New(errkind.NotOwner, "key %d", 3)), 1, inlineBytes)
 	assert.NilError(t, err)
 	got, _, err = decodeAnswer(head, 1)
 	assert.NilError(t, err)
@@ -60,7 +66,7 @@
 
 func TestLongBodyFollowsTheHead(t *testing.T) {
 	r := &Request{Body: make([]byte, inlineBytes+1), Key: NoKey}
-	head, rest, err := encodeRequest(r, 1)
+	head, rest, err := encodeRequest(r, 1, inlineBytes)
 	assert.NilError(t, err)
 	assert.Equal(t, len(rest), inlineBytes+1)
 	_, size, err := decodeRequest(head, 1)
@@ -85,7 +91,7 @@
 // A daemon that stops must not end before its answers have reached the daemons that asked.
 func TestRequestIsOpenUntilItsAnswerIsSent(t *testing.T) {
 	clock := ident.NewMonotonicClock()
-	head, _, err := encodeRequest(&Request{ID: "a", Method: "GET", URI: "/", Key: NoKey, Deadline: clock.Now().Add(time.Minute)}, clock.Now())
+	head, _, err := encodeRequest(&Request{ID: "a", Method: "GET", URI: "/", Key: NoKey, Deadline: clock.Now().Add(time.Minute)}, clock.Now(), inlineBytes)
 	assert.NilError(t, err)
 	s := NewServer(answerAtOnce{}, &BodyBudget{}, clock, zap.NewNop())
 	stream := &slowStream{head: head, released: make(chan struct{})}
@@ -103,3 +109,26 @@
 type answerAtOnce struct{}
 
 func (answerAtOnce) Serve(context.Context, *Request) *Answer { return &Answer{Status: 200} }
+
+// statusAnswer implements Handler.
+type statusAnswer int
+
+func (s statusAnswer) Serve(context.Context, *Request) *Answer { return &Answer{Status: int(s)} }
+
+// An answer of another daemon whose status is none is a fault of the protocol.
+func TestAnswerOfNoStatusIsRejected(t *testing.T) {
+	clock := ident.NewMonotonicClock()
+	for _, status := range []int{-200, 0, 99, 101, 199, 600, 2000, 599} {
+		a, _ := startMesh(t, "a", nil)
+		b, to := startMesh(t, "b", nil)
+		b.SetHandlers(noControl{}, NewServer(statusAnswer(status), &BodyBudget{}, clock, zap.NewNop()))
+		got := NewClient(a, clock).Send(context.Background(), to, &Request{Key: NoKey, Deadline: clock.Now().Add(time.Second)})
+		if status == 599 {
+			assert.Assert(t, got.Failure == nil, "%v", got.Failure)
+			continue
+		}
+		assert.Assert(t, got.Failure != nil, "status %d", status)
+		assert.Equal(t, got.Failure.Kind, errkind.PeerProtocol)
+		assert.Equal(t, got.Failure.Answer().Truth, errkind.Unknown)
+	}
+}
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -18,6 +18,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/quarantine"
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/held"
 )
 
 // HeaderNames holds the names of the HTTP header fields that a deployment uses.
@@ -76,6 +77,10 @@
 // Load is the slot usage of a backend server.
 type Load struct {
 	Running, Waiting, Slots int
+
+	LinkWait time.Duration // that a long body waits for the link of its host
+	Room     float64       // requests at once that the server takes well; zero if unknown
+	Pace     float64       // how long work takes there at present, 1 as usual; zero if unknown
 }
 
 // Answer is the answer of a backend server or the failure that takes its place.
@@ -83,6 +88,7 @@
 	Status         int
 	Header         []Field
 	Body           []byte
+	Room           held.Answer    // what Body takes of the memory here, until it is released; not sent to other daemons
 	Failure        *errkind.Error // nil if the backend server answered
 	ReachedBackend bool           // at least one byte of the request was, or may have been, sent to a backend server
 	Load           Load           // load of the backend server beside the daemon that answers
@@ -96,6 +102,9 @@
 	// Statement is what the backend server's answer states about the server; nil if none
 	// came. It is not sent to other daemons.
 	Statement *advisory.Statement
+	// Held is the time from the arrival of the request at the daemon beside the server to its
+	// answer; zero means unknown. The rest of what the sender measures was spent on the way.
+	Held time.Duration
 	// ConnectionLost reports that the backend server closed or reset the connection before
 	// its answer was complete. It is not sent to other daemons.
 	ConnectionLost bool
--- a/internal/hop/wire.go
+++ b/internal/hop/wire.go
@@ -5,6 +5,8 @@
 	"math"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/burdockfold/burdockfold/internal/codec"
 	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
@@ -19,6 +21,12 @@
 // maxSuspicion limits the suspicion in a message from a peer.
 const maxSuspicion = 1000
 
+// Limits of the room and the pace in a message from a peer.
+const (
+	maxRoomTenths  = 1 << 20
+	maxPacePercent = 10_000
+)
+
 // wireRequest is the CBOR array that encodes a request. It contains a body of up to
 // inlineBytes; a longer body is sent as the body of the stream. The order of the fields
 // is the wire format.
@@ -59,6 +67,10 @@
 	ServiceTimeMS  int64 // time that the backend server took; zero means unknown
 	Advisory       *wireAdvisory
 	Suspicion      int
+	LinkWaitMS     int64
+	RoomTenths     int // tenths of a request; zero means unknown
+	PacePercent    int // zero means unknown
+	HeldMS         int64
 }
 
 // wireAdvisory is the CBOR array that encodes an advisory. The order of the fields is the
@@ -86,30 +98,33 @@
 	RetryMS int64
 }
 
+// maxStatus is the greatest status of an answer.
+const maxStatus = 599
+
 // inlineBytes is the maximum length of a body that is sent in the head. A body in the
 // head saves a few frames per request. The value is well below the mesh's limit on the
 // size of a head.
 const inlineBytes = 64 << 10
 
 // encodeRequest returns the encoded head of r and the body that must follow it, if the
-// body is too long for the head.
-func encodeRequest(r *Request, now ident.Instant) (head, rest []byte, err error) {
+// body is longer than inline bytes.
+func encodeRequest(r *Request, now ident.Instant, inline int) (head, rest []byte, err error) {
 	w := wireRequest{
 		ID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Header: flattenFields(r.Header),
 		TimeLeftMS: r.TimeLeft(now).Milliseconds(), TargetLeftMS: targetLeft(r.TargetTime, now), Key: r.Key, Service: string(r.Service),
 		Route: r.Route, Priority: r.Priority, Caller: r.Caller, Trace: r.Trace, Advisory: encodeAdvisory(r.Advisory, now),
 		Suspicion: r.Suspicion,
 	}
-	w.Body, rest = splitBody(r.Body)
+	w.Body, rest = splitBody(r.Body, inline)
 	w.BodySize = len(rest)
 	head, err = codec.Marshal(&w)
 	return head, rest, err
 }
 
-// splitBody returns body as the part in the head if it fits there, else as the part that
-// follows the head.
-func splitBody(body []byte) (inline, rest []byte) {
-	if len(body) > inlineBytes {
+// splitBody returns body as the part in the head if it is no longer than limit bytes, else as
+// the part that follows the head.
+func splitBody(body []byte, limit int) (inline, rest []byte) {
+	if len(body) > limit {
 		return nil, body
 	}
 	return body, nil
@@ -157,17 +172,18 @@
 }
 
 // encodeAnswer returns the encoded head of a and the body that must follow it, if the
-// body is too long for the head.
-func encodeAnswer(a *Answer, now ident.Instant) (head, rest []byte, err error) {
+// body is longer than inline bytes.
+func encodeAnswer(a *Answer, now ident.Instant, inline int) (head, rest []byte, err error) {
 	w := wireAnswer{
 		Status: a.Status, Header: flattenFields(a.Header), ReachedBackend: a.ReachedBackend,
 		Load: [3]int{a.Load.Running, a.Load.Waiting, a.Load.Slots}, ServiceTimeMS: a.ServiceTime.Milliseconds(),
-		Advisory: encodeAdvisory(a.Advisory, now), Suspicion: a.Suspicion,
+		Advisory: encodeAdvisory(a.Advisory, now), Suspicion: a.Suspicion, LinkWaitMS: a.Load.LinkWait.Milliseconds(),
+		RoomTenths: int(math.Round(10 * a.Load.Room)), PacePercent: int(math.Round(100 * a.Load.Pace)), HeldMS: a.Held.Milliseconds(),
 	}
 	if e := a.Failure; e != nil {
 		w.Failure = &wireFailure{Kind: uint8(e.Kind), Truth: string(e.Answer().Truth), Detail: e.Detail, RetryMS: e.RetryAfter.Milliseconds()}
 	}
-	w.Body, rest = splitBody(a.Body)
+	w.Body, rest = splitBody(a.Body, inline)
 	w.BodySize = len(rest)
 	head, err = codec.Marshal(&w)
 	return head, rest, err
@@ -184,9 +200,13 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	a := &Answer{Status: w.Status, Header: fields, Body: w.Body, ReachedBackend: w.ReachedBackend, Load: Load{w.Load[0], w.Load[1], w.Load[2]}}
+	a := &Answer{Status: w.Status, Header: fields, Body: w.Body, ReachedBackend: w.ReachedBackend, Load: Load{Running: w.Load[0], Waiting: w.Load[1], Slots: w.Load[2]}}
+	a.Load.LinkWait = peerDuration(w.LinkWaitMS)
+	a.Load.Room = float64(min(max(w.RoomTenths, 0), maxRoomTenths)) / 10
+	a.Held = peerDuration(w.HeldMS)
+	a.Load.Pace = float64(min(max(w.PacePercent, 0), maxPacePercent)) / 100
 	a.Advisory, a.Suspicion = decodeAdvisory(w.Advisory, now), limitSuspicion(w.Suspicion)
-	a.ServiceTime = min(max(time.Duration(w.ServiceTimeMS)*time.Millisecond, 0), maxPeerDuration)
+	a.ServiceTime = peerDuration(w.ServiceTimeMS)
 	if f := w.Failure; f != nil {
 		a.Failure = &errkind.Error{
 			Kind: errkind.Kind(f.Kind), Truth: errkind.Truth(f.Truth), Detail: f.Detail,
@@ -196,6 +216,20 @@
 	return a, w.BodySize, nil
 }
 
+// peerDuration returns the duration that a peer states in milliseconds, or the nearest one
+// that is possible.
+func peerDuration(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxPeerDuration.Milliseconds())) * time.Millisecond
+}
+
+// checkStatus returns an error if an answer that is no failure has a status of no final answer.
+func checkStatus(a *Answer) error {
+	if a.Failure == nil && (a.Status < fasthttp.StatusOK || a.Status > maxStatus) {
+		return fmt.Errorf("hop: answer of status %d", a.Status)
+	}
+	return nil
+}
+
 // limitSuspicion returns the suspicion that a peer states, or the nearest one that is possible.
 func limitSuspicion(n int) int { return min(max(n, 0), maxSuspicion) }
 
--- /dev/null
+++ b/internal/sidecar/coldserver.go
@@ -0,0 +1,95 @@
+package sidecar
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/burdockfold/burdockfold/internal/core/admission"
+	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/roster"
+	"github.com/burdockfold/burdockfold/internal/core/routes"
+	"github.com/burdockfold/burdockfold/internal/settings"
+)
+
+// coldBoundOf returns what a service of a routing table tolerates while one of its servers is
+// cold. t may be nil.
+func coldBoundOf(t *routes.Table, s ident.Service, c settings.Cold) admission.ColdBound {
+	if t == nil {
+		return admission.ColdBound{}
+	}
+	rate := t.Services[s].ColdRate
+	return admission.ColdBound{Rate: rate, PerSecond: rate*c.Factor + c.Slack}
+}
+
+// updateCold takes the cold time from a heartbeat, and reports whether other daemons must learn
+// of it: the server has become cold, or is no longer held for cold. A heartbeat without one leaves the end as an earlier heartbeat stated it. The caller
+// holds s.mu.
+func (s *server) updateCold(hb *Heartbeat, sameInstance bool) (changed bool) {
+	now := s.clock.Now()
+	if s.heldAt != 0 && now.Sub(s.heldAt) >= heartbeatDelay {
+		s.heldAt = 0
+		s.coldUntil = max(s.coldUntil, now) // warmed in steps, also if it was never cold
+		changed = true
+	}
+	switch {
+	case hb.ColdFor > 0:
+		if !sameInstance || now >= s.coldUntil {
+			s.logCold(hb)
+			changed = true
+		}
+		s.coldUntil = now.Add(hb.ColdFor)
+	case !sameInstance:
+		s.coldUntil = 0
+	}
+	s.boundCold(hb.Service)
+	return changed
+}
+
+// boundCold makes the gate start no more requests than a cold server of a service tolerates.
+// The caller holds s.mu.
+func (s *server) boundCold(service ident.Service) {
+	until := s.coldUntil
+	if s.heldAt != 0 {
+		until = max(until, s.clock.Now().Add(heldTime))
+	}
+	s.gate.SetCold(s.coldBound(service), until)
+}
+
+// Times after the end of an evacuation.
+const (
+	heartbeatDelay = 200 * time.Millisecond // within which a heartbeat arrives; an earlier one may have been sent before the end
+	heldTime       = time.Hour              // that the server counts as cold without a heartbeat
+	heldColdTime   = 3 * time.Second        // that other daemons are told meanwhile: some heartbeats, after which the server counts as lost
+)
+
+// holdCold makes the server count as cold until a heartbeat that it sends from now on: after an
+// evacuation it may have become cold without the daemon's knowledge.
+func (s *server) holdCold() {
+	s.mu.Lock()
+	s.heldAt = s.clock.Now()
+	s.boundCold(s.service)
+	s.mu.Unlock()
+	s.onChange()
+}
+
+// handleConfig is called when another configuration is in force.
+func (s *server) handleConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boundCold(s.service)
+}
+
+// logCold logs that the server has become cold, if its service bounds what it gets.
+func (s *server) logCold(hb *Heartbeat) {
+	if b := s.coldBound(hb.Service); b.Rate > 0 {
+		s.log.Info("server_cold", zap.String("server", hb.Instance.ID), zap.String("service", string(hb.Service)),
+			zap.Duration("for", hb.ColdFor), zap.Float64("per_second", b.Rate))
+	}
+}
+
+// isBoundCold reports whether the server beside a daemon is cold and its service bounds what a
+// cold server gets.
+func (p *peers) isBoundCold(q *roster.Peer, now ident.Instant) bool {
+	return now < q.ColdUntil && p.server.coldBound(q.Server.Service).Rate > 0
+}
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -19,14 +20,18 @@
 	"github.com/burdockfold/burdockfold/internal/core/admission"
 	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/balance"
+	"github.com/burdockfold/burdockfold/internal/core/evacuation"
+	"github.com/burdockfold/burdockfold/internal/core/heldmem"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
+	"github.com/burdockfold/burdockfold/internal/core/linkroom"
 	"github.com/burdockfold/burdockfold/internal/core/quarantine"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
 	"github.com/burdockfold/burdockfold/internal/core/routes"
 	"github.com/burdockfold/burdockfold/internal/core/sharedread"
 	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/edge"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/hop"
 	"github.com/burdockfold/burdockfold/internal/mesh"
 	"github.com/burdockfold/burdockfold/internal/netlimit"
@@ -65,25 +70,29 @@
 	member ident.Member
 	clock  *ident.MonotonicClock
 
-	server     *server
-	ownership  *ownership
-	configs    *configFollower
-	peers      *peers
-	departures *departureStore
-	gate       *admitting.Gate
-	suspects   *suspects
-	edge       *edge.Server
-	hop        *hop.Server
-	executor   *executor
-	mesh       *mesh.Mesh
-	metrics    *metrics
-	origin     *origin.Client
-	adapter    Adapter
-	telemetry  *telemetry.Providers // metrics and traces
+	server      *server
+	ownership   *ownership
+	configs     *configFollower
+	peers       *peers
+	departures  *departureStore
+	gate        *admitting.Gate
+	suspects    *suspects
+	evacuations *evacuations
+	edge        *edge.Server
+	hop         *hop.Server
+	executor    *executor
+	mesh        *mesh.Mesh
+	metrics     *metrics
+	origin      *origin.Client
+	adapter     Adapter
+	telemetry   *telemetry.Providers // metrics and traces
 
 	service  atomic.Pointer[ident.Service] // service on this host according to the settings
 	stopping atomic.Bool
 	bounds   *hop.Stop // of the requests, while the daemon stops
+
+	limits heldmem.Limits // of memory
+	memory *held.Memory   // what is held for others
 }
 
 // New returns a daemon that has not opened its ports yet.
@@ -93,9 +102,16 @@
 		member: ident.Member{Host: cfg.Host.Name, Incarnation: ident.Incarnation(time.Now().UnixMilli())},
 		clock:  ident.NewMonotonicClock(),
 		bounds: hop.NewStop(),
+		limits: heldmem.LimitsOf(int64(cfg.Resources.MemoryMB) * 1_000_000),
 	}
+	d.memory = held.New(d.limits)
 	d.service.Store(&cfg.Service)
-	d.gate = admitting.NewGate(admission.DefaultConfig(initialSlots), d.clock)
+	policy := admission.DefaultConfig(initialSlots)
+	policy.CallsFirst = cfg.Calls.Protect
+	d.gate = admitting.NewGate(policy, d.clock)
+	if cfg.Room.Learn {
+		d.gate.LearnRoom()
+	}
 	if err := d.buildMetrics(); err != nil {
 		return nil, err
 	}
@@ -103,12 +119,18 @@
 	d.departures = newDepartureStore(d.member.Host, d.adapter.Log, d.clock, log)
 	d.buildOwnership()
 	d.server = &server{clock: d.clock, ownership: d.ownership, gate: d.gate, log: log, drainTime: cfg.Drain.ServerTime, onChange: func() { d.peers.requestHello() },
-		isConfigured: func(s ident.Service) bool { return d.configs.isConfigured(s) }, saveDeparture: d.departures.save}
+		isConfigured: func(s ident.Service) bool { return d.configs.isConfigured(s) }, saveDeparture: d.departures.save,
+		coldBound: func(s ident.Service) admission.ColdBound { return coldBoundOf(d.configs.Routes(), s, cfg.Cold) }}
+	d.evacuations = newEvacuations(cfg.Host.FailureDomain, cfg.Evacuation.ApplyTime, adapter.DecodeEvacuation, d.clock, log)
+	d.evacuations.metrics = d.metrics
+	d.evacuations.onChange = func(c evacuation.Change, source string) { d.handleEvacuation(c, source) }
 	d.configs = &configFollower{
-		store: d.adapter.Log, decode: adapter.DecodeConfig, log: log,
+		evacuations: d.evacuations,
+		store:       d.adapter.Log, decode: adapter.DecodeConfig, log: log,
 		pollTime: func() time.Duration { return d.peers.configPollTime() },
 		onChange: func(t *routes.Table, source string) {
 			d.ownership.addAgents(shardedServices(t))
+			d.server.handleConfig()
 			if source == sourceStore {
 				d.peers.sendVersionHint(t.Version)
 			}
@@ -134,7 +156,10 @@
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	d.telemetry = p
-	d.metrics, err = newMetrics(p.Meter(), func() (int, int) { l := d.gate.SlotUsage(); return l.Running, l.Waiting }, func() float64 { return d.server.limit() })
+	d.metrics, err = newMetrics(p.Meter(), func() (int, int) { l := d.gate.SlotUsage(); return l.Running, l.Waiting }, func() float64 { return d.server.limit() }, func() int { return len(d.evacuations.Domains()) }, d.memory)
+	if err == nil && d.cfg.Room.Learn {
+		err = observeRoom(p.Meter(), d.gate.Room)
+	}
 	if err != nil {
 		return err
 	}
@@ -184,6 +209,8 @@
 		PingInterval:     meshPingInterval,
 		PingTimeout:      meshPingTimeout,
 		IdlePingInterval: meshIdlePingInterval,
+		UnpacedBytes:     linkroom.UnpacedBytes(d.cfg.Resources.LinkMbps),
+		SendRate:         sendRate(d.cfg.Resources.LinkMbps),
 		Logger:           d.log,
 		OnConnect:        func(m ident.Member) { d.peers.handleConnected(m) },
 	})
@@ -199,7 +226,7 @@
 		self: d.member, addr: d.cfg.Listen.Mesh,
 		location: d.location(), service: d.cfg.Service,
 		clock: d.clock, store: d.adapter.Log, mesh: d.mesh, server: d.server, gate: d.gate,
-		ownership: d.ownership, configs: d.configs, suspects: d.suspects, log: d.log,
+		ownership: d.ownership, configs: d.configs, suspects: d.suspects, evacuations: d.evacuations, log: d.log,
 		pollTime: d.cfg.Store.PollTime, watchPollTime: d.cfg.Store.WatchPoll,
 		helloRequested:  make(chan struct{}, 1),
 		registrationDue: make(chan struct{}, 1),
@@ -217,29 +244,37 @@
 	if err != nil {
 		return fmt.Errorf("sidecar: %w", err)
 	}
-	bodies := &hop.BodyBudget{}
+	maxConns = d.limits.Connections(maxConns)
 	d.origin = origin.NewClient(d.adapter.HeaderNames, maxServerConnections, d.clock)
+	d.origin.UseMemory(d.memory)
+	hops := hop.NewClient(d.mesh, d.clock)
+	hops.UseMemory(d.memory)
 	crashes := &crashWatch{server: d.server, accepts: d.origin.Accepts, clock: d.clock, metrics: d.metrics, log: d.log, onCrash: d.suspects.recordCrash, runs: quarantine.NewRuns()}
-	d.executor = &executor{server: d.server, ownership: d.ownership, gate: d.gate, client: d.origin, crashes: crashes, suspects: d.suspects, stop: d.bounds, clock: d.clock, metrics: d.metrics, log: d.log,
+	d.executor = &executor{server: d.server, ownership: d.ownership, gate: d.gate, client: d.origin, crashes: crashes, suspects: d.suspects, evacuations: d.evacuations, stop: d.bounds, clock: d.clock, metrics: d.metrics, log: d.log,
 		regions: &regionGuard{region: d.cfg.Host.Region, routes: d.configs.Routes}}
-	targetChooser := &chooser{
+	var targetChooser edge.Chooser = &chooser{
 		peers: d.peers, ownership: d.ownership, suspects: d.suspects, clock: d.clock, routes: d.configs.Routes, metrics: d.metrics,
 		estimator: balance.NewEstimator(balance.DefaultCosts()),
 		book:      advisory.NewBook(),
 		times:     balance.NewTimes(),
 		rng:       rand.New(rand.NewPCG(uint64(d.member.Incarnation), uint64(os.Getpid()))),
 	}
+	if d.cfg.Calls.Protect {
+		d.executor.chains = newChains(d.clock)
+		targetChooser = chainChooser{targetChooser, d.executor.chains}
+	}
 	budget := edge.Budget{Window: d.cfg.Retries.Window, Ratio: d.cfg.Retries.Ratio, Allowance: d.cfg.Retries.Allowance}
-	dispatcher := edge.NewDispatcher(d.member.Host, targetChooser, d.executor, hop.NewClient(d.mesh, d.clock), budget, d.metrics, d.clock, d.log)
+	dispatcher := edge.NewDispatcher(d.member.Host, targetChooser, d.executor, hops, budget, d.metrics, d.clock, d.log)
 	if d.telemetry.Tracing() {
 		d.executor.tracer = hop.NewTracer(d.telemetry.Tracer())
 		dispatcher.SetTracer(d.executor.tracer)
 	}
 	caller := func() string { return string(*d.service.Load()) }
-	d.edge = edge.NewServer(d.adapter.HeaderNames, d.configs, dispatcher, caller, maxConns, bodies, d.bounds, d.clock, d.log)
-	d.hop = hop.NewServer(d.executor, bodies, d.clock, d.log)
+	d.edge = edge.NewServer(d.adapter.HeaderNames, d.configs, dispatcher, caller, maxConns, d.memory, d.bounds, d.clock, d.log)
+	d.edge.SetUnreadTime(d.cfg.Resources.UnreadTime)
+	d.hop = hop.NewServer(d.executor, d.memory, d.clock, d.log)
 	d.mesh.SetHandlers(d.peers, d.hop)
-	return nil
+	return d.buildLinkRoom(hops)
 }
 
 // SetService changes the service on this host, after the settings were reloaded.
@@ -262,6 +297,9 @@
 	}
 	d.log.Info("daemon_started", telemetry.Member(d.member), telemetry.Region(d.cfg.Host.Region),
 		telemetry.FailureDomain(d.cfg.Host.FailureDomain), telemetry.Service(d.cfg.Service))
+	if d.limits.Known() {
+		defer debug.SetMemoryLimit(debug.SetMemoryLimit(d.limits.Heap))
+	}
 	g := duty.NewGroup(context.Background())
 	d.startDuties(g, ports)
 	select {
--- a/internal/sidecar/executor.go
+++ b/internal/sidecar/executor.go
@@ -28,15 +28,17 @@
 // executor runs requests on the backend server beside the daemon. It implements
 // hop.Handler, for requests of this daemon's callers and of other daemons.
 type executor struct {
-	server    *server
-	ownership *ownership
-	gate      *admitting.Gate
-	client    *origin.Client
-	crashes   *crashWatch
-	suspects  *suspects
-	stop      *hop.Stop
-	clock     ident.Clock
-	regions   *regionGuard
+	server      *server
+	ownership   *ownership
+	gate        *admitting.Gate
+	client      *origin.Client
+	crashes     *crashWatch
+	suspects    *suspects
+	chains      *chains
+	evacuations *evacuations
+	stop        *hop.Stop
+	clock       ident.Clock
+	regions     *regionGuard
 
 	metrics *metrics
 	tracer  *hop.Tracer // nil records no spans
@@ -62,13 +64,14 @@
 	l := x.gate.SlotUsage()
 	a.Advisory = x.server.advisory()
 	a.Load = hop.Load{Running: l.Running, Waiting: l.Waiting, Slots: x.server.rosterEntry().Slots}
+	a.Load.Room, a.Load.Pace = x.gate.Room()
 	x.metrics.recordServiceTime(r.Route, a.ServiceTime)
 	if e := a.Failure; e != nil {
 		x.metrics.countDeclined(e.Kind.String())
 		now := x.clock.Now()
 		x.log.Info("server_declined", zap.String("request_id", r.ID), zap.String("service", string(r.Service)), zap.Int("key", r.Key),
 			zap.Stringer("kind", e.Kind), zap.Bool("reached", a.ReachedBackend), zap.Int("running", l.Running), zap.Int("waiting", l.Waiting),
-			zap.Int("slots", a.Load.Slots), zap.Duration("after", now.Sub(arrived)), zap.Duration("left", r.TimeLeft(now)), zap.String("detail", e.Detail))
+			zap.Int("slots", a.Load.Slots), zap.Float64("room", a.Load.Room), zap.Duration("after", now.Sub(arrived)), zap.Duration("left", r.TimeLeft(now)), zap.String("detail", e.Detail))
 	}
 	return a
 }
@@ -99,10 +102,14 @@
 // admit waits for a slot and runs the request. ran is false if the request has fallen under
 // suspicion meanwhile, and has to be isolated.
 func (x *executor) admit(ctx context.Context, r *hop.Request, fingerprint func() quarantine.Fingerprint, isolated bool) (a *hop.Answer, ran bool) {
+	if e := x.chains.admit(r); e != nil {
+		return hop.FailedAnswer(e), true
+	}
 	release, err := x.gate.Admit(ctx, admission.Arrival{
-		Class: admission.Class(r.Route), Deadline: r.Deadline, Target: r.TargetTime, Priority: r.Priority,
+		Class: admission.Class(r.Route), Deadline: r.Deadline, Target: r.TargetTime, Priority: r.Priority, Caller: r.Caller,
 	})
 	if err != nil {
+		x.recordRefusedLoad(r, err)
 		return hop.FailedAnswer(admissionError(ctx, err)), true
 	}
 	if e := x.checkAllowed(r); e != nil { // the state may have changed while the request waited
@@ -118,6 +125,14 @@
 	return x.runAdmitted(ctx, r, run, release), true
 }
 
+// recordRefusedLoad adds a request that got no slot to the load of its key.
+func (x *executor) recordRefusedLoad(r *hop.Request, err error) {
+	var e *errkind.Error
+	if r.Key != hop.NoKey && errors.As(err, &e) && e.Kind == errkind.Overloaded {
+		x.ownership.recordServiceTime(r.Service, keyrange.Key(r.Key), x.gate.MeanServiceTime(admission.Class(r.Route)))
+	}
+}
+
 // runAdmitted sends an admitted request to the server. It calls release with the service
 // time, or with zero if the server did not answer.
 func (x *executor) runAdmitted(ctx context.Context, r *hop.Request, run quarantine.Run, release func(time.Duration)) *hop.Answer {
@@ -127,13 +142,15 @@
 		release(0)
 		return hop.FailedAnswer(errkind.New(errkind.BackendUnavailable, "the backend server has gone"))
 	}
-	id := x.crashes.beginRun(run)
+	id, endRun := x.crashes.beginRun(run), x.chains.beginRun(r)
 	a := x.client.Do(ctx, target, r)
+	endRun(a)
 	if x.crashes.endRun(id, target, a) == quarantine.Answered {
 		x.suspects.clear(run.Fingerprint)
 	}
 	if a.Statement != nil {
 		x.server.recordStatement(target.ID, *a.Statement, started)
+		x.gate.RecordPace(a.Statement.Load.Pace)
 	}
 	x.metrics.countServerRequest(a.ReachedBackend)
 	serviceTime := x.clock.Now().Sub(started)
@@ -163,6 +180,11 @@
 	}
 	_, leaving, ok := x.server.target(r.Service)
 	sharded := x.ownership.isSharded(r.Service)
+	if ok {
+		if e := x.evacuations.refusal(sharded); e != nil {
+			return e
+		}
+	}
 	switch {
 	case x.refuseNew.Load():
 		return withMoveRetryAfter(errkind.New(errkind.Draining, "the daemon stops"))
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -13,6 +13,7 @@
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/logservice"
 )
 
@@ -32,6 +33,7 @@
 	calls       metric.Int64Counter
 	crashes     metric.Int64Counter
 	quarantined metric.Int64Counter
+	evacuated   metric.Int64Counter
 	regionBytes metric.Int64Counter
 }
 
@@ -40,8 +42,9 @@
 var latencyBounds = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12}
 
 // newMetrics creates the instruments. gate returns the current use of the slots, limit
-// the requests per second that the backend server accepts, zero if it states no limit.
-func newMetrics(m metric.Meter, gate func() (running, waiting int), limit func() float64) (*metrics, error) {
+// the requests per second that the backend server accepts, zero if it states no limit;
+// evacuated the number of evacuated failure domains.
+func newMetrics(m metric.Meter, gate func() (running, waiting int), limit func() float64, evacuated func() int, memory *held.Memory) (*metrics, error) {
 	var out metrics
 	var errs []error
 	counter := func(name, description string) metric.Int64Counter {
@@ -67,6 +70,7 @@
 	out.writes = counter("burdock_ownership_writes", "changes of the ownership table by reason and outcome")
 	out.crashes = counter("burdock_server_crashes", "ends of the backend server here while it worked on requests")
 	out.quarantined = counter("burdock_quarantined", "requests that are refused from now on because servers ended under them, by source")
+	out.evacuated = counter("burdock_evacuation_refused", "requests that were refused because the failure domain here is evacuated")
 	out.regionBytes = counter("burdock_region_bytes", "bytes of bodies between this region and another one, by route and region")
 	out.calls = counter("burdock_store_calls", "calls to the log service by kind and outcome")
 	_, err := m.Int64ObservableGauge("burdock_slots_in_use", metric.WithDescription("requests that run on the backend server, and that wait"),
@@ -81,12 +85,48 @@
 			o.Observe(limit())
 			return nil
 		}))
-	if err := errors.Join(append(errs, err, limitErr)...); err != nil {
+	_, evacuatedErr := m.Int64ObservableGauge("burdock_evacuated_domains", metric.WithDescription("failure domains that are evacuated"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(evacuated()))
+			return nil
+		}))
+	_, heldErr := m.Int64ObservableGauge("burdock_held_bytes", metric.WithDescription("bytes held for callers, other daemons and the backend server"), metric.WithUnit("By"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			total, bodies, answers := memory.Bytes()
+			o.Observe(bodies, metric.WithAttributes(attribute.String("kind", "bodies")))
+			o.Observe(answers, metric.WithAttributes(attribute.String("kind", "answers")))
+			o.Observe(total-bodies-answers, metric.WithAttributes(attribute.String("kind", "other")))
+			return nil
+		}))
+	_, cutErr := m.Int64ObservableCounter("burdock_readers_cut", metric.WithDescription("readers of answers that were cut off, by reason"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			slow, unread := memory.Cuts()
+			o.Observe(slow, metric.WithAttributes(attribute.String("reason", "memory")))
+			o.Observe(unread, metric.WithAttributes(attribute.String("reason", "unread")))
+			return nil
+		}))
+	if err := errors.Join(append(errs, err, limitErr, evacuatedErr, heldErr, cutErr)...); err != nil {
 		return nil, fmt.Errorf("sidecar: metrics: %w", err)
 	}
 	return &out, nil
 }
 
+// observeRoom creates the gauges of what the server takes well, and of its pace.
+func observeRoom(m metric.Meter, learnt func() (room, pace float64)) error {
+	gauge := func(name, description string, value func() float64) error {
+		_, err := m.Float64ObservableGauge(name, metric.WithDescription(description),
+			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+				o.Observe(value())
+				return nil
+			}))
+		return err
+	}
+	return errors.Join(
+		gauge("burdock_server_room", "requests at once that the backend server here takes well", func() float64 { room, _ := learnt(); return room }),
+		gauge("burdock_server_pace", "how long work takes on the backend server here, 1 as usual, 0 if unknown", func() float64 { _, pace := learnt(); return pace }),
+	)
+}
+
 // count adds one to a counter.
 func count(c metric.Int64Counter, attributes ...attribute.KeyValue) {
 	c.Add(context.Background(), 1, metric.WithAttributes(attributes...))
@@ -115,6 +155,12 @@
 	}
 }
 
+func (m *metrics) countEvacuated() {
+	if m != nil {
+		count(m.evacuated)
+	}
+}
+
 func (m *metrics) countServerRequest(sent bool) {
 	if m != nil && sent {
 		count(m.received)
