held: garbage is collected before a long holding only when it is needed

Cause: a forced collection each time a quarter of the bound was released would also come with ordinary long answers, far below the bound.

Change: it comes only if what was released, with what is held, is above the bound.

--- a/internal/held/held.go
+++ b/internal/held/held.go
@@ -117,11 +117,11 @@
 }
 
 // collect collects garbage before another long holding is allocated, if the memory of those
-// that were released may not have come free: the collector starts too late for a few holdings
-// of many megabytes.
+// that were released may not have come free and, with what is held, exceeds the bound: the
+// collector starts too late for a few holdings of many megabytes.
 func (m *Memory) collect() {
-	l := m.bounds()
-	if !l.Known() || m.garbage.Load() < l.Garbage || !m.collecting.TryLock() {
+	l, garbage := m.bounds(), m.garbage.Load()
+	if !l.Known() || garbage < l.Garbage || garbage+m.total.Load() <= l.Total || !m.collecting.TryLock() {
 		return
 	}
 	defer m.collecting.Unlock()
