admission, sidecar: a server whose domain becomes cold keeps the bound before its own heartbeat

Cause: a server that becomes cold says so in its next heartbeat, up to 870 ms later; until then its daemon started whatever came. Change: when another server of the failure domain has become cold while it ran, or an evacuation of the own domain begins, the bound of every second holds for two heartbeats, without the rate. A server that becomes cold alone is known as before.

--- a/internal/admitting/gate.go
+++ b/internal/admitting/gate.go
@@ -107,6 +107,13 @@
 	g.deliverCommands(g.core.SetCold(b, until, g.clock.Now()))
 }
 
+// SuspectCold states that the server may be cold until an instant, although it has not said so.
+func (g *Gate) SuspectCold(until ident.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.SuspectCold(until, g.clock.Now())
+}
+
 // Run is the duty that ticks the admission core until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
--- a/internal/core/admission/cold.go
+++ b/internal/core/admission/cold.go
@@ -32,6 +32,7 @@
 type coldStart struct {
 	bound  ColdBound
 	until  ident.Instant   // the server is cold until then; zero if it never was
+	maybe  ident.Instant   // the server may be cold until then, without having said so
 	recent []ident.Instant // the last starts, as many as may happen within coldWindow; a ring
 	next   int             // index in recent of the earliest start
 }
@@ -73,7 +74,7 @@
 
 // freeIn returns the time until a request may start without exceeding the bound of any second.
 func (s *coldStart) freeIn(now ident.Instant) time.Duration {
-	if len(s.recent) == 0 || now >= s.until || s.recent[s.next] == 0 {
+	if len(s.recent) == 0 || now >= max(s.until, s.maybe) || s.recent[s.next] == 0 {
 		return 0
 	}
 	return max(s.recent[s.next].Add(coldWindow).Sub(now), 0)
@@ -87,6 +88,13 @@
 	}
 }
 
+// SuspectCold states that the server may be cold until an instant, although it has not said so.
+// Until then the bound of every second holds, but not the rate: most such servers are warm.
+func (c *Core) SuspectCold(until, now ident.Instant) {
+	c.limit.refill(now)
+	c.limit.cold.maybe = until
+}
+
 // SetCold states that the server is cold until an instant, zero if it is not, and the bound of
 // its service. The requests of the second before count.
 func (c *Core) SetCold(b ColdBound, until, now ident.Instant) []Command {
--- a/internal/core/admission/cold_test.go
+++ b/internal/core/admission/cold_test.go
@@ -19,6 +19,7 @@
 	bound     admission.ColdBound
 	coldFor   time.Duration // zero: the daemons beside the servers do not bound them
 	told      time.Duration
+	suspected time.Duration // when they learn that the servers may be cold; zero: not
 }
 
 const (
@@ -49,6 +50,9 @@
 					apply(core.Finish(id, now))
 				}
 			}
+			if now == coldAt.Add(d.suspected) && d.suspected > 0 {
+				core.SuspectCold(now.Add(time.Second), now)
+			}
 			if now == coldAt.Add(d.told) && d.coldFor > 0 {
 				apply(core.SetCold(d.bound, coldAt.Add(d.coldFor), now))
 			}
@@ -84,6 +88,7 @@
 	for _, d := range []coldDomain{
 		{perDaemon: 1.5, bound: admission.ColdBound{Rate: 13, PerSecond: 27.5}, coldFor: 4 * time.Second},
 		{perDaemon: 0.4, bound: admission.ColdBound{Rate: 13, PerSecond: 27.5}, coldFor: 4 * time.Second, told: 400 * time.Millisecond},
+		{perDaemon: 1, bound: admission.ColdBound{Rate: 13, PerSecond: 27.5}, coldFor: 4 * time.Second, told: 870 * time.Millisecond, suspected: 150 * time.Millisecond},
 		{perDaemon: 0.8, bound: admission.ColdBound{Rate: 8.2, PerSecond: 8.2}, coldFor: 3 * time.Second},
 		{perDaemon: 0.3, bound: admission.ColdBound{Rate: 1.2, PerSecond: 9.8}, coldFor: 4 * time.Second},
 	} {
--- a/internal/core/admission/limit.go
+++ b/internal/core/admission/limit.go
@@ -67,7 +67,7 @@
 
 // allows reports whether a request may start at the instant of the last update.
 func (l *startLimit) allows() bool {
-	return l.perSecond == 0 || l.tokens >= 1 && l.cold.freeIn(l.updatedAt) == 0
+	return (l.perSecond == 0 || l.tokens >= 1) && l.cold.freeIn(l.updatedAt) == 0
 }
 
 // spend takes the token of a request that starts at the instant of the last update.
@@ -81,13 +81,14 @@
 // waitFor returns the time until the limit lets a request start that has the given number
 // of requests ahead of it.
 func (l *startLimit) waitFor(ahead int) time.Duration {
-	missing := float64(ahead+1) - l.tokens
+	free := l.cold.freeIn(l.updatedAt)
 	if l.perSecond == 0 {
-		return 0
+		return free
 	}
-	wait := max(time.Duration(missing/l.perSecond*float64(time.Second)), l.cold.freeIn(l.updatedAt))
+	missing := float64(ahead+1) - l.tokens
+	wait := max(time.Duration(missing/l.perSecond*float64(time.Second)), free)
 	if l.stated == 0 {
-		wait = min(wait, l.cold.warmIn(l.updatedAt))
+		wait = min(wait, max(l.cold.warmIn(l.updatedAt), l.cold.maybe.Sub(l.updatedAt)))
 	}
 	return wait
 }
--- a/internal/sidecar/coldserver.go
+++ b/internal/sidecar/coldserver.go
@@ -46,6 +46,25 @@
 	return changed
 }
 
+// suspectTime is how long a server that may be cold is bounded: the heartbeat that says so comes
+// meanwhile, also if one is lost.
+const suspectTime = 2 * heartbeatInterval
+
+// suspectCold bounds the server for suspectTime as if it were cold: servers of its failure
+// domain have become cold, or may have, and its own next heartbeat is still to come.
+func (s *server) suspectCold() { s.gate.SuspectCold(s.clock.Now().Add(suspectTime)) }
+
+// suspectColdBy suspects the own server if a server of this failure domain has become cold while
+// it ran: whatever has emptied its caches may have met all of the domain. old is the peer
+// before its entry was merged.
+func (p *peers) suspectColdBy(old, merged roster.Peer) {
+	now := p.clock.Now()
+	if merged.Location.FailureDomain == p.location.FailureDomain && merged.Member != p.self && old.Server.Instance.ID != "" &&
+		old.Server.Instance == merged.Server.Instance && now >= old.ColdUntil && p.isBoundCold(&merged, now) {
+		p.server.suspectCold()
+	}
+}
+
 // boundCold makes the gate start no more requests than a cold server of a service tolerates.
 // The caller holds s.mu.
 func (s *server) boundCold(service ident.Service) {
--- a/internal/sidecar/evacuation.go
+++ b/internal/sidecar/evacuation.go
@@ -226,6 +226,7 @@
 		d.log.Info("evacuation_began", zap.String("domain", string(domain)), zap.String("source", source), zap.Int("servers", servers), zap.Int("keys", d.peers.keysIn(domain)))
 		if domain == d.evacuations.own {
 			d.evacuations.refused.Store(0)
+			d.server.suspectCold() // a reason for an evacuation
 		}
 	}
 	for _, domain := range c.Ended {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -268,6 +268,9 @@
 	changed := p.roster.Merge(e, p.clock.Now())
 	merged, _ := p.roster.Get(e.Member.Host)
 	p.mu.Unlock()
+	if changed && known {
+		p.suspectColdBy(old, merged)
+	}
 	if changed && (!known || old.Member != e.Member || old.Server != merged.Server || old.Leaving != e.Leaving) {
 		p.logPeerState(merged.Entry)
 	}
--- a/internal/sidecar/relayentries.go
+++ b/internal/sidecar/relayentries.go
@@ -137,7 +137,11 @@
 		if !p.roster.Merge(e, now) {
 			continue
 		}
-		if merged, _ := p.roster.Get(e.Member.Host); !known || !sameState(old.Entry, merged.Entry) {
+		merged, _ := p.roster.Get(e.Member.Host)
+		if known {
+			p.suspectColdBy(old, merged)
+		}
+		if !known || !sameState(old.Entry, merged.Entry) {
 			changed = append(changed, merged.Entry)
 		}
 	}
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -14,6 +14,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
+	"github.com/burdockfold/burdockfold/internal/core/routes"
 	"github.com/burdockfold/burdockfold/internal/core/sharedread"
 )
 
@@ -216,6 +217,39 @@
 	return n
 }
 
+// Servers of a failure domain become cold at once, and each says so only in its next heartbeat,
+// up to 870 ms later. The first one that does warns the others; one that is new, or of
+// another domain, does not.
+func TestColdServerWarnsItsFailureDomain(t *testing.T) {
+	clock := &manualClock{now: ident.Instant(time.Hour)}
+	hello := func(p *peers, seq uint64, domain ident.FailureDomain, started, coldMS int64) int {
+		p.handleHello(hello{Entry: roster.Entry{
+			Member: ident.Member{Host: "h-" + ident.Host(domain), Incarnation: 1}, Seq: seq, Location: ident.Location{FailureDomain: domain},
+			Server: roster.Server{Instance: roster.Instance{ID: "x", StartedMS: started}, Service: "pool", State: roster.Ready, ColdMS: coldMS},
+		}})
+		clock.now = clock.now.Add(10 * time.Millisecond)
+		return startsIn(p.server, clock, time.Second)
+	}
+	for _, c := range []struct {
+		domain  ident.FailureDomain
+		started int64
+		most    int
+	}{{"a", 1, 20}, {"a", 2, 100}, {"b", 1, 100}} {
+		s := newTestServer(clock)
+		s.coldBound = func(ident.Service) admission.ColdBound { return admission.ColdBound{Rate: 10, PerSecond: 20} }
+		s.HandleHeartbeat(newHeartbeat(1, 1))
+		p := &peers{self: ident.Member{Host: "h"}, location: ident.Location{FailureDomain: "a"}, clock: clock, log: zap.NewNop(), roster: roster.New("h"), server: s,
+			configs: &configFollower{}, evacuations: newEvacuations("a", time.Second, nil, clock, zap.NewNop())}
+		p.configs.table.Store(routes.NewTable(routes.Config{Version: 1}))
+		p.mergeEntry(roster.Entry{Member: ident.Member{Host: "h-" + ident.Host(c.domain), Incarnation: 1}, Seq: 1, Location: ident.Location{FailureDomain: c.domain},
+			Server: roster.Server{Instance: roster.Instance{ID: "x", StartedMS: 1}, Service: "pool", State: roster.Ready}})
+		assert.Equal(t, hello(p, 2, c.domain, 1, 0), 100, "%+v: no server is cold", c)
+		clock.now = clock.now.Add(2 * time.Second)
+		n := hello(p, 3, c.domain, c.started, 3000)
+		assert.Assert(t, n <= c.most && n >= c.most-2, "%+v: %d requests in the second after the warning", c, n)
+	}
+}
+
 // A server that becomes cold again while it runs got all requests that its slots could take:
 // nothing but a restart counted. The other daemons must learn of it, too.
 func TestServerThatBecomesColdIsBounded(t *testing.T) {
