sidecar: a heartbeat held up on its way does not end the cold time after an evacuation

Cause: any heartbeat that arrived 200 ms after an evacuation's end counted as sent after it, but one may arrive seconds late: the server got 61 requests in a second in place of 10 (test). Change: the second heartbeat to arrive counts, which was sent after the answer to the first.

--- a/internal/sidecar/coldserver.go
+++ b/internal/sidecar/coldserver.go
@@ -23,14 +23,18 @@
 }
 
 // updateCold takes the cold time from a heartbeat, and reports whether other daemons must learn
-// of it: the server has become cold, or is no longer held for cold. A heartbeat without one leaves the end as an earlier heartbeat stated it. The caller
-// holds s.mu.
+// of it: the server has become cold, or is no longer held for cold. A heartbeat without one
+// leaves the end as an earlier heartbeat stated it. The caller holds s.mu.
 func (s *server) updateCold(hb *Heartbeat, sameInstance bool) (changed bool) {
 	now := s.clock.Now()
-	if s.heldAt != 0 && now.Sub(s.heldAt) >= heartbeatDelay {
+	switch {
+	case s.heldAt == 0:
+	case sameInstance && s.heldHeartbeat && now.Sub(s.heldAt) >= heartbeatDelay:
 		s.heldAt = 0
 		s.coldUntil = max(s.coldUntil, now) // warmed in steps, also if it was never cold
 		changed = true
+	default:
+		s.heldHeartbeat = true
 	}
 	switch {
 	case hb.ColdFor > 0:
@@ -77,16 +81,17 @@
 
 // Times after the end of an evacuation.
 const (
-	heartbeatDelay = 200 * time.Millisecond // within which a heartbeat arrives; an earlier one may have been sent before the end
+	heartbeatDelay = 200 * time.Millisecond // within which a heartbeat usually arrives; several that were held up may come at once
 	heldTime       = time.Hour              // that the server counts as cold without a heartbeat
 	heldColdTime   = 3 * time.Second        // that other daemons are told meanwhile: some heartbeats, after which the server counts as lost
 )
 
 // holdCold makes the server count as cold until a heartbeat that it sends from now on: after an
-// evacuation it may have become cold without the daemon's knowledge.
+// evacuation it may have become cold without the daemon's knowledge. The first heartbeat to
+// arrive may have been sent seconds ago; the one after it was sent after the answer to it.
 func (s *server) holdCold() {
 	s.mu.Lock()
-	s.heldAt = s.clock.Now()
+	s.heldAt, s.heldHeartbeat = s.clock.Now(), false
 	s.boundCold(s.service)
 	s.mu.Unlock()
 	s.onChange()
--- a/internal/sidecar/evacuation_test.go
+++ b/internal/sidecar/evacuation_test.go
@@ -66,8 +66,8 @@
 	s.coldBound = func(ident.Service) admission.ColdBound { return admission.ColdBound{Rate: 10, PerSecond: 20} }
 	s.HandleHeartbeat(newHeartbeat(1, 1))
 	s.holdCold()
-	clock.now = clock.now.Add(50 * time.Millisecond)
-	s.HandleHeartbeat(newHeartbeat(1, 2)) // sent before the end
+	clock.now = clock.now.Add(500 * time.Millisecond)
+	s.HandleHeartbeat(newHeartbeat(1, 2)) // sent before the end, and held up on its way
 	n := startsIn(s, clock, time.Second)
 	assert.Assert(t, n >= 8 && n <= 12, "%d requests in a second", n)
 	assert.Assert(t, s.rosterEntry().ColdMS > 0)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -58,6 +58,7 @@
 	lost          bool             // silent or refused a connection since its last heartbeat
 	coldUntil     ident.Instant    // the server is slow until then; zero if it never was
 	heldAt        ident.Instant    // an evacuation ended then, and no heartbeat sent since has arrived; zero if none
+	heldHeartbeat bool             // one has arrived since heldAt
 	lastHeartbeat ident.Instant
 	statements    advisory.Tracker // what the server states in its answers
 	published     float64          // its limit as the other daemons know it
