evacuation: daemons tell the age of each order, and the greatest one heard of counts

Cause: a notice told only the age of its oldest order, so that a second domain's keys were refused at once in place of 3 s later; and an answer of the store that had been held up made its order count as new, although other daemons told that it is older: keyed requests could run longer than the bound allows. Change: ages by domain; the earliest instant heard of counts.

--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -73,16 +73,23 @@
 
 // Merge applies the state of another daemon if it is newer. Of two states as of one offset,
 // both read after the store came back from a copy, each may have kept what the other does not
-// know.
-func (t *Tracker) Merge(s State, since ident.Instant) Change {
-	if s.At < t.at || !s.valid() {
+// know. since tells from which instants on the other daemon counts the orders, one for each
+// domain: the earlier one counts, as an answer of the store may have been held up.
+func (t *Tracker) Merge(s State, since []ident.Instant, now ident.Instant) Change {
+	if s.At < t.at || !s.valid() || len(since) != len(s.Domains) {
 		return Change{}
 	}
 	domains := s.Domains
 	if s.At == t.at {
 		domains = slices.Concat(domains, t.Domains())
 	}
-	return t.replace(domains, s.At, since)
+	c := t.replace(domains, s.At, now)
+	for i, d := range s.Domains {
+		if known, ok := t.domains[d]; ok {
+			t.domains[d] = min(known, since[i])
+		}
+	}
+	return c
 }
 
 // valid reports whether a state from another daemon is plausible.
--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -9,7 +9,10 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 )
 
-type domains = []ident.FailureDomain
+type (
+	domains = []ident.FailureDomain
+	sinces  = []ident.Instant
+)
 
 // A daemon that was cut off hears of orders late, twice and from several others. The newest
 // must win whatever the order of arrival, and one must not undo another.
@@ -18,11 +21,16 @@
 	assert.DeepEqual(t, tr.Read(domains{"a"}, 5, 10), Change{Began: domains{"a"}})
 	assert.DeepEqual(t, tr.Record("b", true, 5, 20), Change{Began: domains{"b"}})
 	assert.Assert(t, tr.Record("a", false, 4, 20).Empty(), "a record from before the read")
-	assert.Assert(t, tr.Merge(State{At: 5}, 30).Empty(), "an older state of another daemon")
-	assert.Assert(t, tr.Merge(State{At: 9, Domains: make(domains, 1)}, 30).Empty(), "a domain without a name")
-	assert.DeepEqual(t, tr.Merge(State{At: 8, Domains: domains{"b", "c"}}, 30), Change{Began: domains{"c"}, Ended: domains{"a"}})
+	assert.Assert(t, tr.Merge(State{At: 5}, nil, 30).Empty(), "an older state of another daemon")
+	assert.Assert(t, tr.Merge(State{At: 9, Domains: make(domains, 1)}, make(sinces, 1), 30).Empty(), "a domain without a name")
+	assert.DeepEqual(t, tr.Merge(State{At: 8, Domains: domains{"b", "c"}}, sinces{25, 15}, 30), Change{Began: domains{"c"}, Ended: domains{"a"}})
 	since, ok := tr.Since("b")
 	assert.Assert(t, ok && since == 20)
+	since, _ = tr.Since("c")
+	assert.Equal(t, since, ident.Instant(15))
+	tr.Merge(State{At: 8, Domains: domains{"b", "c"}}, sinces{5, 30}, 40)
+	since, _ = tr.Since("b")
+	assert.Equal(t, since, ident.Instant(5), "the answer of the store was held up")
 	assert.Assert(t, tr.Record("a", true, 6, 40).Empty(), "the poll catches up with what the other daemon told")
 	assert.DeepEqual(t, tr.Record("b", false, 8, 40), Change{Ended: domains{"b"}})
 	s, _ := tr.State()
@@ -37,14 +45,14 @@
 	tr.Read(domains{"a", "b"}, 9, 0)
 	restored := ident.OffsetIn(1, 4)
 	assert.Assert(t, tr.Read(domains{"b"}, restored, 0).Empty())
-	assert.Assert(t, tr.Merge(State{At: restored}, 0).Empty())
+	assert.Assert(t, tr.Merge(State{At: restored}, nil, 0).Empty())
 	var fresh Tracker
 	fresh.Read(domains{"b"}, restored, 0)
 	s, ok := tr.State()
 	assert.Assert(t, ok)
-	assert.DeepEqual(t, fresh.Merge(s, 0), Change{Began: domains{"a"}})
+	assert.DeepEqual(t, fresh.Merge(s, make(sinces, len(s.Domains)), 0), Change{Began: domains{"a"}})
 	var told Tracker
-	told.Merge(s, 0)
+	told.Merge(s, make(sinces, len(s.Domains)), 0)
 	assert.Assert(t, told.Read(domains{"b"}, restored, 0).Empty(), "told before it read the store")
 	assert.DeepEqual(t, tr.Record("a", false, restored, 0), Change{Ended: domains{"a"}})
 }
--- a/internal/sidecar/evacuation.go
+++ b/internal/sidecar/evacuation.go
@@ -137,11 +137,14 @@
 func (e *evacuations) merge(n evacuationNotice, from ident.Member) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	since := e.longAgo()
-	if age := time.Duration(n.AgeMS) * time.Millisecond; n.AgeMS >= 0 && n.AgeMS < e.applyTime.Milliseconds() {
-		since = e.clock.Now().Add(-age)
+	since := make([]ident.Instant, min(len(n.State.Domains), evacuation.MaxDomains))
+	for i := range since {
+		since[i] = e.longAgo()
+		if i < len(n.AgesMS) && n.AgesMS[i] >= 0 && n.AgesMS[i] < e.applyTime.Milliseconds() {
+			since[i] = e.clock.Now().Add(-time.Duration(n.AgesMS[i]) * time.Millisecond)
+		}
 	}
-	e.apply(e.tracker.Merge(n.State, since), string(from.Host))
+	e.apply(e.tracker.Merge(n.State, since, e.clock.Now()), string(from.Host))
 }
 
 // notice returns what other daemons are to be told, and whether they may need it.
@@ -152,13 +155,15 @@
 	now := e.clock.Now()
 	for _, d := range n.State.Domains {
 		since, _ := e.tracker.Since(d)
-		n.AgeMS = max(n.AgeMS, now.Sub(since).Milliseconds())
+		n.AgesMS = append(n.AgesMS, now.Sub(since).Milliseconds())
 	}
 	return n, known
 }
 
 // apply puts a change in force. The caller holds e.mu.
 func (e *evacuations) apply(c evacuation.Change, source string) {
+	since, _ := e.tracker.Since(e.own)
+	e.ownSince.Store(int64(since))
 	if c.Empty() {
 		return
 	}
@@ -166,9 +171,7 @@
 	for _, d := range e.tracker.Domains() {
 		covered[d] = true
 	}
-	since, _ := e.tracker.Since(e.own)
 	e.domains.Store(&covered)
-	e.ownSince.Store(int64(since))
 	e.changedAt, e.noticedAt = e.clock.Now(), 0
 	e.unchecked = append(e.unchecked, c.Began...)
 	e.onChange(c, source)
--- a/internal/sidecar/evacuation_test.go
+++ b/internal/sidecar/evacuation_test.go
@@ -46,6 +46,14 @@
 	assert.Assert(t, known)
 	told.merge(n, ident.Member{Host: "h"})
 	assert.Assert(t, told.refusal(false) != nil && told.refusal(true) == nil, "as old as at the other daemon")
+	heldUp := newOne()
+	heldUp.applyChanges(logservice.Changes{Next: 5, Entries: []logservice.KeyedEntry{entry("a", "x", 4)}}, true)
+	heldUp.merge(n, ident.Member{Host: "h"})
+	assert.Assert(t, heldUp.refusal(false) != nil, "another daemon has had the answer of the store before")
+	n.State.At, n.State.Domains, n.AgesMS = 9, domains{"a", "z"}, []int64{100, 9000}
+	other := newOne()
+	other.merge(n, ident.Member{Host: "h"})
+	assert.Assert(t, other.refusal(false) == nil, "an older order of another domain")
 	e.applyChanges(logservice.Changes{Next: 6, Entries: []logservice.KeyedEntry{entry("a", "bad", 5)}}, true)
 	e.applyRead(logservice.Newest{Next: 7, Entries: []logservice.KeyedEntry{entry("a", "bad", 5)}})
 	assert.Assert(t, e.covers("a"))
@@ -55,7 +63,7 @@
 	assert.Assert(t, late.refusal(true) != nil)
 	e.applyChanges(logservice.Changes{Next: 8, Entries: []logservice.KeyedEntry{entry("a", "", 7)}}, true)
 	assert.Assert(t, !e.covers("a") && e.refusal(false) == nil)
-	assert.Assert(t, e.tracker.Merge(evacuation.State{At: 6}, 0).Empty())
+	assert.Assert(t, e.tracker.Merge(evacuation.State{At: 6}, nil, 0).Empty())
 }
 
 // The servers of a domain that is taken back may have become cold meanwhile. They count as cold
@@ -91,7 +99,7 @@
 	x := &executor{server: s, ownership: s.ownership, evacuations: e}
 	r := &hop.Request{Service: "pool", Key: hop.NoKey}
 	assert.Assert(t, x.checkAllowed(r) == nil)
-	e.merge(evacuationNotice{State: evacuation.State{At: 1, Domains: domains{"a"}}, AgeMS: 2000}, ident.Member{Host: "h"})
+	e.merge(evacuationNotice{State: evacuation.State{At: 1, Domains: domains{"a"}}, AgesMS: []int64{2000}}, ident.Member{Host: "h"})
 	refusal := x.checkAllowed(r)
 	assert.Assert(t, refusal != nil)
 	assert.Equal(t, refusal.Kind, errkind.Draining)
--- a/internal/sidecar/messages.go
+++ b/internal/sidecar/messages.go
@@ -79,8 +79,8 @@
 
 // evacuationNotice tells which failure domains are evacuated, as the sender knows it.
 type evacuationNotice struct {
-	State evacuation.State `codec:"s"`
-	AgeMS int64            `codec:"a"` // time for which the oldest of the orders counts at the sender, in milliseconds
+	State  evacuation.State `codec:"s"`
+	AgesMS []int64          `codec:"a"` // time for which each of the orders counts at the sender, in milliseconds, as the domains are ordered
 }
 
 // departureNotice tells a daemon that was restarted that the server beside it leaves.
