evacuation: the store's word counts against an offset that it has not reached

Cause: daemons took over whatever offset another told of. One far beyond the store, from a faulty daemon, kept every later order from being followed, until the process ended (test). Change: what another daemon tells counts until the store has been asked after that, which is done at once if the pending poll does not bring it; the same claim does not count twice.

--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -28,8 +28,10 @@
 // safe for concurrent use.
 type Tracker struct {
 	at      ident.Offset
-	domains map[ident.FailureDomain]ident.Instant // since when no new request may begin there; see Begun
+	domains map[ident.FailureDomain]ident.Instant // since when the order counts
 	changed bool
+	toldAt  ident.Instant // when another daemon told of at; zero if the store did
+	refused ident.Offset  // another daemon told of it, and the store does not reach it; zero if none
 }
 
 // Change tells which domains an input has added and taken away, sorted.
@@ -44,15 +46,38 @@
 // from a copy, the records that were written after the copy are gone: what was evacuated
 // before stays so until a record takes it back, also if another daemon told of it before this
 // one read the store. since is when the orders that are new here
-// were given at the earliest.
-func (t *Tracker) Read(domains []ident.FailureDomain, at ident.Offset, since ident.Instant) Change {
-	if at < t.at {
+// were given at the earliest, and asked when the store was asked. If the store ends before an
+// offset that another daemon had told of by then, that daemon is wrong.
+func (t *Tracker) Read(domains []ident.FailureDomain, at ident.Offset, since, asked ident.Instant) Change {
+	switch {
+	case t.Contradicts(at, asked):
+		t.refused, t.at = t.at, 0
+	case at < t.at:
 		return Change{}
 	}
 	if t.at != 0 && (at.Era() > t.at.Era() || at == t.at) {
 		domains = slices.Concat(domains, t.Domains())
 	}
-	return t.replace(domains, at, since)
+	return t.reachStore(t.replace(domains, at, since))
+}
+
+// Contradicts reports whether an answer of the store that ends at an offset shows that another
+// daemon has told of an offset that the store did not reach.
+func (t *Tracker) Contradicts(end ident.Offset, asked ident.Instant) bool {
+	return t.toldAt != 0 && asked > t.toldAt && end < t.at
+}
+
+// IsTold reports whether the present offset is another daemon's word, which the store has not
+// confirmed.
+func (t *Tracker) IsTold() bool { return t.toldAt != 0 }
+
+// reachStore notes that the store has given the present offset, and returns a change unchanged.
+func (t *Tracker) reachStore(c Change) Change {
+	t.toldAt = 0
+	if t.at >= t.refused {
+		t.refused = 0
+	}
+	return c
 }
 
 // Record applies one record of the stream at an offset: the order to evacuate a domain, or to
@@ -65,20 +90,28 @@
 	if evacuate {
 		domains = append(domains, d)
 	}
-	return t.replace(domains, at+1, since)
+	return t.reachStore(t.replace(domains, at+1, since))
 }
 
 // Advance states that the records before an offset concern no other domains.
-func (t *Tracker) Advance(at ident.Offset) { t.at = max(t.at, at) }
+func (t *Tracker) Advance(at ident.Offset) {
+	if at >= t.at {
+		t.at = at
+		t.reachStore(Change{})
+	}
+}
 
 // Merge applies the state of another daemon if it is newer. Of two states as of one offset,
 // both read after the store came back from a copy, each may have kept what the other does not
 // know. since tells from which instants on the other daemon counts the orders, one for each
 // domain: the earlier one counts, as an answer of the store may have been held up.
 func (t *Tracker) Merge(s State, since []ident.Instant, now ident.Instant) Change {
-	if s.At < t.at || !s.valid() || len(since) != len(s.Domains) {
+	if s.At < t.at || t.refused != 0 && s.At >= t.refused || !s.valid() || len(since) != len(s.Domains) {
 		return Change{}
 	}
+	if s.At > t.at {
+		t.toldAt = now
+	}
 	domains := s.Domains
 	if s.At == t.at {
 		domains = slices.Concat(domains, t.Domains())
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -104,11 +105,12 @@
 
 // readAll reads the newest configuration and returns the offset from which to poll.
 func (c *configFollower) readAll(ctx context.Context) (ident.Offset, error) {
+	asked := c.evacuations.clock.Now()
 	n, err := c.store.Newest(ctx, logservice.ConfigStream)
 	if err != nil {
 		return 0, err
 	}
-	c.evacuations.applyRead(n)
+	c.evacuations.applyRead(n, asked)
 	c.applyEntries(n.Entries)
 	return n.Next, nil
 }
@@ -121,6 +123,7 @@
 	c.pollMu.Lock()
 	c.cancelPoll, c.pollSent, c.pollWaits = cancel, time.Now(), wait > 0
 	c.pollMu.Unlock()
+	asked := c.evacuations.clock.Now()
 	ch, err := c.store.Poll(pollCtx, logservice.ConfigStream, from, wait)
 	switch {
 	case err == nil:
@@ -129,11 +132,27 @@
 	default:
 		return from, err
 	}
-	c.evacuations.applyChanges(ch, wait > 0)
+	reread := c.evacuations.applyChanges(ch, wait > 0, asked)
 	c.applyEntries(ch.Entries)
+	if reread {
+		return ch.Next, fmt.Errorf("%w: another daemon has told of a later offset", logservice.ErrTruncated)
+	}
 	return ch.Next, nil
 }
 
+// handleEvacuationNotice is called when another daemon has told of evacuations. The store is
+// asked for what a poll that waits does not bring within hintGrace.
+func (c *configFollower) handleEvacuationNotice() {
+	time.AfterFunc(hintGrace, func() {
+		c.pollMu.Lock()
+		stale := c.pollWaits && time.Since(c.pollSent) >= hintGrace
+		c.pollMu.Unlock()
+		if stale && c.evacuations.isTold() {
+			c.restartPoll()
+		}
+	})
+}
+
 // handleVersionHint is called when a peer has announced version v. If the pending poll does
 // not bring it within hintGrace, the poll is repeated: one that began before an outage of
 // the store may never be answered. A poll that returns at once is left alone, so that
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/burdockfold/burdockfold/internal/core/evacuation"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/routes"
 	"github.com/burdockfold/burdockfold/internal/logservice"
@@ -132,3 +133,30 @@
 	<-done
 	assert.Assert(t, c.Version() >= 2, "version %d after %d hints and %d polls", c.Version(), hints, log.polls.Load())
 }
+
+// A faulty daemon tells of an offset that the store has not reached, while the poll of this one
+// waits. It asks the store at once, and the store's orders count.
+func TestEvacuationBeyondTheStoreIsAskedOfTheStore(t *testing.T) {
+	log := &pollRecorder{fail: make(chan error)}
+	e := newEvacuations("d", time.Second, nil, ident.NewMonotonicClock(), zap.NewNop())
+	c := &configFollower{store: log, log: zap.NewNop(), evacuations: e, pollTime: func() time.Duration { return time.Minute }}
+	c.table.Store(routes.NewTable(routes.Config{Version: 1}))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		assert.Check(t, c.follow(ctx))
+	}()
+	for len(log.pollsWithWaits()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p := &peers{evacuations: e, configs: c}
+	p.handleEvacuationNotice(evacuationNotice{State: evacuation.State{At: 1 << 40, Domains: domains{"z"}}}, ident.Member{Host: "x"})
+	assert.DeepEqual(t, e.Domains(), domains{"z"})
+	for end := time.Now().Add(5 * time.Second); len(e.Domains()) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, len(e.Domains()), 0)
+	cancel()
+	<-done
+}
--- a/internal/sidecar/evacuation.go
+++ b/internal/sidecar/evacuation.go
@@ -80,8 +80,8 @@
 }
 
 // applyRead applies what the store holds. An order of a domain that is new here may have been
-// given at any time before.
-func (e *evacuations) applyRead(n logservice.Newest) {
+// given at any time before. asked is when the store was asked.
+func (e *evacuations) applyRead(n logservice.Newest, asked ident.Instant) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var found domains
@@ -100,12 +100,17 @@
 		}
 		found = append(found, d)
 	}
-	e.apply(e.tracker.Read(found, n.Next, e.longAgo()), sourceStore)
+	if e.tracker.Contradicts(n.Next, asked) {
+		told, _ := e.tracker.State()
+		e.log.Warn("evacuation_offset_refused", zap.Uint64("told", uint64(told.At)), zap.Uint64("store", uint64(n.Next)))
+	}
+	e.apply(e.tracker.Read(found, n.Next, e.longAgo(), asked), sourceStore)
 }
 
 // applyChanges applies records of the stream. waited tells that the read waited for them, so
-// that they have just been written.
-func (e *evacuations) applyChanges(ch logservice.Changes, waited bool) {
+// that they have just been written; asked is when the read began. reread tells that the store
+// has to be read anew, because another daemon has told what the store contradicts.
+func (e *evacuations) applyChanges(ch logservice.Changes, waited bool, asked ident.Instant) (reread bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	since := e.longAgo()
@@ -123,6 +128,14 @@
 		}
 	}
 	e.tracker.Advance(ch.Next)
+	return e.tracker.Contradicts(ch.Next, asked)
+}
+
+// isTold reports whether another daemon knows more of the operators' stream than this one has read.
+func (e *evacuations) isTold() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tracker.IsTold()
 }
 
 // longAgo returns an instant from which on any order is in force by now.
@@ -133,10 +146,12 @@
 	e.log.Warn("evacuation_refused", zap.String("key", key), zap.Error(err))
 }
 
-// merge applies the state that another daemon knows.
-func (e *evacuations) merge(n evacuationNotice, from ident.Member) {
+// merge applies the state that another daemon knows, and reports whether that one knows more of
+// the operators' stream.
+func (e *evacuations) merge(n evacuationNotice, from ident.Member) (later bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	before, _ := e.tracker.State()
 	since := make([]ident.Instant, min(len(n.State.Domains), evacuation.MaxDomains))
 	for i := range since {
 		since[i] = e.longAgo()
@@ -145,6 +160,8 @@
 		}
 	}
 	e.apply(e.tracker.Merge(n.State, since, e.clock.Now()), string(from.Host))
+	after, _ := e.tracker.State()
+	return after.At > before.At
 }
 
 // notice returns what other daemons are to be told, and whether they may need it.
@@ -221,6 +238,13 @@
 	}
 }
 
+// handleEvacuationNotice applies what another daemon tells.
+func (p *peers) handleEvacuationNotice(n evacuationNotice, from ident.Member) {
+	if p.evacuations.merge(n, from) {
+		p.configs.handleEvacuationNotice()
+	}
+}
+
 // handleEvacuation logs a change of the evacuations and makes the server, the ownership and
 // the other daemons follow.
 func (d *Daemon) handleEvacuation(c evacuation.Change, source string) {
--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/burdockfold/burdockfold/internal/codec"
+	"github.com/burdockfold/burdockfold/internal/core/evacuation"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/quarantine"
@@ -28,6 +29,7 @@
 		typeRelayedEntries: relayedEntries{Entries: []roster.Entry{{Member: ident.Member{Host: "a", Incarnation: 1}}}},
 		typeConsent:        consent{Service: "s"},
 		typeSuspects:       suspectReport{Records: []suspectRecord{{Suspicion: 2, AgeMS: 5}}, Cleared: []quarantine.Fingerprint{{1}}},
+		typeEvacuation:     evacuationNotice{State: evacuation.State{At: 1, Domains: domains{"a"}}, AgesMS: []int64{5}},
 		typeSupport:        support{Service: "s", Seq: 1},
 		typeDeparture:      departureNotice{Instance: roster.Instance{ID: "i", StartedMS: 1}, AgeMS: 5},
 	} {
@@ -51,7 +53,9 @@
 		}
 		server := newTestServer(clock)
 		server.HandleHeartbeat(newHeartbeat(1, 1))
-		p := &peers{self: self, clock: clock, log: zap.NewNop(), server: server, ownership: o, suspects: newTestSuspects("h", clock), roster: roster.New("h"), relay: relayState{relayed: map[ident.Host]roster.Entry{}, told: map[ident.Host]ident.Member{}}}
+		p := &peers{self: self, clock: clock, log: zap.NewNop(), server: server, ownership: o, suspects: newTestSuspects("h", clock), roster: roster.New("h"), relay: relayState{relayed: map[ident.Host]roster.Entry{}, told: map[ident.Host]ident.Member{}},
+			evacuations: newEvacuations("a", time.Second, nil, clock, zap.NewNop())}
+		p.configs = &configFollower{evacuations: p.evacuations}
 		p.HandleControl(ident.Member{Host: "a", Incarnation: 1}, mesh.Message{Type: kind, Data: data})
 		for s, table := range o.tables {
 			if !table.Valid() {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -238,7 +238,7 @@
 	case typeDeparture:
 		err = decodeThen(m.Data, func(n departureNotice) { p.handleDepartureNotice(n) })
 	case typeEvacuation:
-		err = decodeThen(m.Data, func(n evacuationNotice) { p.evacuations.merge(n, from) })
+		err = decodeThen(m.Data, func(n evacuationNotice) { p.handleEvacuationNotice(n, from) })
 	case typeVersionHint:
 		err = decodeThen(m.Data, func(h versionHint) { p.handleVersionHint(from, h) })
 	}
