--- a/internal/sidecar/evacuation_test.go
+++ b/internal/sidecar/evacuation_test.go
@@ -35,9 +35,9 @@
 		return logservice.KeyedEntry{Key: key, Value: []byte(value), Offset: at}
 	}
 	e := newOne()
-	e.applyRead(logservice.Newest{Next: 4, Entries: []logservice.KeyedEntry{entry("config", "x", 1), entry("b", "bad", 3)}})
+	e.applyRead(logservice.Newest{Next: 4, Entries: []logservice.KeyedEntry{entry("config", "x", 1), entry("b", "bad", 3)}}, 0)
 	assert.Equal(t, len(e.Domains()), 0)
-	e.applyChanges(logservice.Changes{Next: 5, Entries: []logservice.KeyedEntry{entry("a", "x", 4)}}, true)
+	e.applyChanges(logservice.Changes{Next: 5, Entries: []logservice.KeyedEntry{entry("a", "x", 4)}}, true, 0)
 	assert.Assert(t, e.covers("a") && e.refusal(false) == nil)
 	clock.now = clock.now.Add(time.Second)
 	assert.Assert(t, e.refusal(false) != nil && e.refusal(true) == nil)
@@ -46,16 +46,24 @@
 	assert.Assert(t, known)
 	told.merge(n, ident.Member{Host: "h"})
 	assert.Assert(t, told.refusal(false) != nil && told.refusal(true) == nil, "as old as at the other daemon")
-	e.applyChanges(logservice.Changes{Next: 6, Entries: []logservice.KeyedEntry{entry("a", "bad", 5)}}, true)
-	e.applyRead(logservice.Newest{Next: 7, Entries: []logservice.KeyedEntry{entry("a", "bad", 5)}})
+	heldUp := newOne()
+	heldUp.applyChanges(logservice.Changes{Next: 5, Entries: []logservice.KeyedEntry{entry("a", "x", 4)}}, true, 0)
+	heldUp.merge(n, ident.Member{Host: "h"})
+	assert.Assert(t, heldUp.refusal(false) != nil, "another daemon has had the answer of the store before")
+	n.State.At, n.State.Domains, n.AgesMS = 9, domains{"a", "z"}, []int64{100, 9000}
+	other := newOne()
+	other.merge(n, ident.Member{Host: "h"})
+	assert.Assert(t, other.refusal(false) == nil, "an older order of another domain")
+	e.applyChanges(logservice.Changes{Next: 6, Entries: []logservice.KeyedEntry{entry("a", "bad", 5)}}, true, 0)
+	e.applyRead(logservice.Newest{Next: 7, Entries: []logservice.KeyedEntry{entry("a", "bad", 5)}}, 0)
 	assert.Assert(t, e.covers("a"))
 	assert.Equal(t, logs.FilterMessage("evacuation_refused").Len(), 3)
 	late := newOne()
-	late.applyRead(logservice.Newest{Next: 5, Entries: []logservice.KeyedEntry{entry("a", "x", 4)}})
+	late.applyRead(logservice.Newest{Next: 5, Entries: []logservice.KeyedEntry{entry("a", "x", 4)}}, 0)
 	assert.Assert(t, late.refusal(true) != nil)
-	e.applyChanges(logservice.Changes{Next: 8, Entries: []logservice.KeyedEntry{entry("a", "", 7)}}, true)
+	e.applyChanges(logservice.Changes{Next: 8, Entries: []logservice.KeyedEntry{entry("a", "", 7)}}, true, 0)
 	assert.Assert(t, !e.covers("a") && e.refusal(false) == nil)
-	assert.Assert(t, e.tracker.Merge(evacuation.State{At: 6}, 0).Empty())
+	assert.Assert(t, e.tracker.Merge(evacuation.State{At: 6}, nil, 0).Empty())
 }
 
 // The servers of a domain that is taken back may have become cold meanwhile. They count as cold
@@ -66,8 +74,8 @@
 	s.coldBound = func(ident.Service) admission.ColdBound { return admission.ColdBound{Rate: 10, PerSecond: 20} }
 	s.HandleHeartbeat(newHeartbeat(1, 1))
 	s.holdCold()
-	clock.now = clock.now.Add(50 * time.Millisecond)
-	s.HandleHeartbeat(newHeartbeat(1, 2)) // sent before the end
+	clock.now = clock.now.Add(500 * time.Millisecond)
+	s.HandleHeartbeat(newHeartbeat(1, 2)) // sent before the end, and held up on its way
 	n := startsIn(s, clock, time.Second)
 	assert.Assert(t, n >= 8 && n <= 12, "%d requests in a second", n)
 	assert.Assert(t, s.rosterEntry().ColdMS > 0)
@@ -91,7 +99,7 @@
 	x := &executor{server: s, ownership: s.ownership, evacuations: e}
 	r := &hop.Request{Service: "pool", Key: hop.NoKey}
 	assert.Assert(t, x.checkAllowed(r) == nil)
-	e.merge(evacuationNotice{State: evacuation.State{At: 1, Domains: domains{"a"}}, AgeMS: 2000}, ident.Member{Host: "h"})
+	e.merge(evacuationNotice{State: evacuation.State{At: 1, Domains: domains{"a"}}, AgesMS: []int64{2000}}, ident.Member{Host: "h"})
 	refusal := x.checkAllowed(r)
 	assert.Assert(t, refusal != nil)
 	assert.Equal(t, refusal.Kind, errkind.Draining)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -238,7 +238,7 @@
 	case typeDeparture:
 		err = decodeThen(m.Data, func(n departureNotice) { p.handleDepartureNotice(n) })
 	case typeEvacuation:
-		err = decodeThen(m.Data, func(n evacuationNotice) { p.evacuations.merge(n, from) })
+		err = decodeThen(m.Data, func(n evacuationNotice) { p.handleEvacuationNotice(n, from) })
 	case typeVersionHint:
 		err = decodeThen(m.Data, func(h versionHint) { p.handleVersionHint(from, h) })
 	}
@@ -268,6 +268,9 @@
 	changed := p.roster.Merge(e, p.clock.Now())
 	merged, _ := p.roster.Get(e.Member.Host)
 	p.mu.Unlock()
+	if changed && known {
+		p.suspectColdBy(old, merged)
+	}
 	if changed && (!known || old.Member != e.Member || old.Server != merged.Server || old.Leaving != e.Leaving) {
 		p.logPeerState(merged.Entry)
 	}
