admission, sidecar: only want of room for calls limits their parents

Cause: any failed call counted against its parents. Servers that refuse a constant share of what they get, a lost region, a missing route or a bad server fail as many calls of fewer requests; their parents were refused three times of four. Requests that the parents' own servers refuse counted too.

Change: a call counts if its daemon refused it for room or time, if a server that was reached had no time left for it, or for its own calls; a failed run with open calls counts once these have ended. The limit follows the runs whose calls had room, of those begun or refused for it; canceled and not run ones count for nothing. Chains.Share, which nothing used, is gone.

--- a/internal/core/admission/chains.go
+++ b/internal/core/admission/chains.go
@@ -11,20 +11,22 @@
 // no room, the server does the request's own work and then fails it. Chains learns at the
 // daemon beside the server which requests are calls of what the server runs, and limits the new
 // requests of a route to about what its calls have room for; the others are refused before
-// they begin.
+// they begin. Calls that fail for another reason than want of room limit nothing: they would
+// fail as often for fewer requests.
 //
 // A call carries no mark, but it expires with its parent: while it arrives, its server runs a
 // request whose deadline is not before the call's. Requests of callers come at any time.
 //
 // The limit is that of adaptive throttling (Beyer et al.: "Site Reliability Engineering", ch.
-// 21): chainHeadroom times what has recently ended whole. So it follows the room of the calls
-// down and up again without knowing it, and never falls below chainFloor of what arrives.
+// 21): chainHeadroom times the runs that recently ended with room for their calls. So it
+// follows the room of the calls down and up again without knowing it, and never falls below
+// chainFloor of what arrives. What waits or is refused for want of a slot here does not count.
 
 const (
 	chainWindow    = 2 * time.Second       // over which runs are counted
-	chainHeadroom  = 2                     // requests that may begin for each that ended whole
+	chainHeadroom  = 2                     // requests that may begin for each whose calls had room
 	chainFloor     = 0.25                  // share of the arrivals that begins at least
-	chainMinLost   = 3                     // runs lost with their calls before a route is limited
+	chainMinLost   = 3                     // runs lost for want of room for calls before a route is limited
 	matchMin       = 10                    // requests of a route before it can be told whether they are calls
 	matchMemory    = 200                   // requests of a route after which earlier ones count half
 	matchShare     = 0.95                  // share of the requests of a call's route that have a parent
@@ -40,12 +42,23 @@
 	CallID uint64
 )
 
-// chainRun is a request that the server runs.
+// RunEnd is how a run of the server ended.
+type RunEnd uint8
+
+// The ends of a run.
+const (
+	RunWhole  RunEnd = iota // the server answered without an error of its own
+	RunFailed               // it answered with an error, or not in time
+	RunVoid                 // canceled, not run or lost with the server; says nothing of its calls
+)
+
+// chainRun is a request that the server runs, or a failed one whose calls are under way still.
 type chainRun struct {
 	route     string
 	deadline  ident.Instant
 	openCalls int  // calls that may be its own and are under way
-	lostCall  bool // a call that may be its own has failed
+	noRoom    bool // a call that may be its own found no room
+	failed    bool // it has ended
 }
 
 // chainCall is a request that was sent from the host of the server while it ran others.
@@ -56,9 +69,11 @@
 
 // chainRoute holds the counts of one route, decayed over chainWindow.
 type chainRoute struct {
-	asked, whole, lost float64 // requests that arrived; runs that ended whole, and that failed with a call
-	credit             float64 // part of a request that may begin; one begins when it reaches 1
-	updatedAt          ident.Instant
+	asked     float64 // requests that were refused for their calls, and runs that began
+	roomy     float64 // runs that ended and whose calls had room
+	lost      float64 // runs that failed with a call that had none
+	credit    float64 // part of a request that may begin; one begins when it reaches 1
+	updatedAt ident.Instant
 
 	sent, matched float64 // requests of the route sent from this host; those with a parent
 }
@@ -66,17 +81,17 @@
 func (r *chainRoute) decay(now ident.Instant) {
 	if passed := now.Sub(r.updatedAt); passed > 0 {
 		factor := math.Exp(-passed.Seconds() / chainWindow.Seconds())
-		r.asked, r.whole, r.lost = r.asked*factor, r.whole*factor, r.lost*factor
+		r.asked, r.roomy, r.lost = r.asked*factor, r.roomy*factor, r.lost*factor
 		r.updatedAt = now
 	}
 }
 
-// share returns the share of the arrivals that may begin.
+// share returns the share of the arrivals that may begin; the next one counts as well.
 func (r *chainRoute) share() float64 {
 	if r.lost < chainMinLost {
 		return 1
 	}
-	return min(max(chainHeadroom*r.whole/max(r.asked, 1), chainFloor), 1)
+	return min(max(chainHeadroom*r.roomy/(r.asked+1), chainFloor), 1)
 }
 
 // Chains holds the runs of the server beside the daemon and the requests sent from its host. It
@@ -114,7 +129,6 @@
 func (c *Chains) Admit(route string, now ident.Instant) (ok bool, retryAfter time.Duration) {
 	r := c.routeOf(route)
 	r.decay(now)
-	r.asked++
 	share := r.share()
 	if share >= 1 {
 		r.credit = 0
@@ -124,41 +138,50 @@
 		r.credit--
 		return true, 0
 	}
+	r.asked++
 	retry := time.Duration((1 - share) / share * float64(time.Second))
 	return false, min(max(retry, minChainRetry), maxChainRetry)
 }
 
-// Share returns the share of a route's arrivals that may begin now.
-func (c *Chains) Share(route string, now ident.Instant) float64 {
+// BeginRun records that the server begins to run a request.
+func (c *Chains) BeginRun(route string, deadline, now ident.Instant) RunID {
 	r := c.routeOf(route)
 	r.decay(now)
-	return r.share()
-}
-
-// BeginRun records that the server begins to run a request.
-func (c *Chains) BeginRun(route string, deadline ident.Instant) RunID {
+	r.asked++
 	c.lastRun++
 	c.runs[c.lastRun] = &chainRun{route: route, deadline: deadline}
 	return c.lastRun
 }
 
-// EndRun records that a run has ended, whole if the server answered without an error of its
-// own. A failed run counts as lost with its calls only if one of them failed or is under way
-// still: a server may fail for other reasons, which fewer requests don't mend.
-func (c *Chains) EndRun(id RunID, whole bool, now ident.Instant) {
+// EndRun records that a run has ended. A failed run whose calls are under way still counts once
+// these have ended.
+func (c *Chains) EndRun(id RunID, end RunEnd, now ident.Instant) {
 	run := c.runs[id]
 	if run == nil {
 		return
 	}
+	if run.failed = end == RunFailed; run.failed && run.openCalls > 0 && !run.noRoom {
+		return
+	}
 	delete(c.runs, id)
+	if end != RunVoid {
+		c.count(run, now)
+		return
+	}
+	r := c.routeOf(run.route)
+	r.decay(now)
+	r.asked = max(r.asked-1, 0)
+}
+
+// count counts a run that has ended.
+func (c *Chains) count(run *chainRun, now ident.Instant) {
 	r := c.routeOf(run.route)
 	r.decay(now)
-	switch {
-	case whole:
-		r.whole++
-	case run.lostCall || run.openCalls > 0:
+	if run.failed && run.noRoom {
 		r.lost++
+		return
 	}
+	r.roomy++
 }
 
 // BeginCall records that a request is sent from the host, which may be a call of what the
@@ -167,7 +190,7 @@
 	c.lastCall++
 	var call chainCall
 	for id, run := range c.runs {
-		if run.deadline.Add(matchSlack) >= deadline {
+		if !run.failed && run.deadline.Add(matchSlack) >= deadline {
 			call.parents = append(call.parents, id)
 		}
 	}
@@ -189,17 +212,24 @@
 	return c.lastCall
 }
 
-// EndCall records that a request sent from the host has ended.
-func (c *Chains) EndCall(id CallID, answered bool) {
+// EndCall records that a request sent from the host has ended. noRoom says that it failed for
+// want of room.
+func (c *Chains) EndCall(id CallID, noRoom bool, now ident.Instant) {
 	call, ok := c.calls[id]
 	if !ok {
 		return
 	}
 	delete(c.calls, id)
 	for _, p := range call.parents {
-		if run := c.runs[p]; run != nil {
-			run.openCalls--
-			run.lostCall = run.lostCall || !answered
+		run := c.runs[p]
+		if run == nil {
+			continue
+		}
+		run.openCalls--
+		run.noRoom = run.noRoom || noRoom
+		if run.failed && (run.noRoom || run.openCalls == 0) {
+			delete(c.runs, p)
+			c.count(run, now)
 		}
 	}
 }
--- a/internal/explain/meaning.go
+++ b/internal/explain/meaning.go
@@ -17,7 +17,7 @@
 	"answer-cut":            "The answer did not arrive completely or failed validation; the request ran or may have run.",
 	"unconfigured":          "The daemon had no configuration yet; look for config_in_force.",
 	"region-not-allowed":    "No backend server in the regions that the route allows could take it; look for route_without_server, or for the owner of the key.",
-	"calls-without-room":    "What the backend server calls for this route has recently failed too often; the requests that begin are limited to what these calls have room for.",
+	"calls-without-room":    "What the backend server calls for this route has recently had no room too often; the requests that begin are limited to what these calls have room for.",
 	"quarantined":           "Servers ended while they ran this request, one after the other; look for server_crashed and request_quarantined.",
 	"no-route":              "No route of the configuration in force matches the request's host and path.",
 	"canceled":              "The caller closed the connection before the answer.",
--- a/internal/sidecar/chains.go
+++ b/internal/sidecar/chains.go
@@ -36,7 +36,7 @@
 	if ok {
 		return nil
 	}
-	e := errkind.New(errkind.CallsWithoutRoom, "the calls that route %q makes fail too often", r.Route)
+	e := errkind.New(errkind.CallsWithoutRoom, "the calls that route %q makes find no room", r.Route)
 	e.RetryAfter = retryAfter
 	return e
 }
@@ -48,16 +48,44 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	id := c.core.BeginRun(r.Route, r.Deadline)
+	id := c.core.BeginRun(r.Route, r.Deadline, c.clock.Now())
 	return func(a *hop.Answer) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.core.EndRun(id, isWhole(a), c.clock.Now())
+		c.core.EndRun(id, runEnd(a), c.clock.Now())
 	}
 }
 
-// isWhole reports whether the server answered without an error of its own.
-func isWhole(a *hop.Answer) bool { return a.Failure == nil && a.Status < 500 }
+// runEnd returns how a run ended.
+func runEnd(a *hop.Answer) admission.RunEnd {
+	switch {
+	case a.Failure == nil && a.Status < 500:
+		return admission.RunWhole
+	case a.Failure == nil || a.Failure.Kind == errkind.DeadlineAfterStart:
+		return admission.RunFailed
+	}
+	return admission.RunVoid
+}
+
+// lateShare is the share of its time after which an attempt counts as one that found no time;
+// the way back and the daemons' work take the rest.
+const lateShare = 0.9
+
+// foundNoRoom reports whether an attempt that took a time and left another failed for want of
+// room, which fewer requests mend: its daemon, or the server that it reached, had none in time.
+// An answer without slots is none of a daemon beside a server, which may be out of reach.
+func foundNoRoom(a *hop.Answer, took, left time.Duration) bool {
+	if a.Failure == nil {
+		return false
+	}
+	switch a.Failure.Kind {
+	case errkind.Overloaded, errkind.DeadlineBeforeStart, errkind.CallsWithoutRoom:
+		return true
+	case errkind.DeadlineAfterStart, errkind.OutcomeUnknown:
+		return a.Load.Slots > 0 && float64(took) >= lateShare*float64(took+left)
+	}
+	return false
+}
 
 // beginCall records an attempt of a request that came in at this host.
 func (c *chains) beginCall(r *hop.Request) {
@@ -67,13 +95,13 @@
 }
 
 // endCall records the end of an attempt.
-func (c *chains) endCall(r *hop.Request, answered bool) {
+func (c *chains) endCall(r *hop.Request, noRoom bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	id, ok := c.calls[r]
 	if ok {
 		delete(c.calls, r)
-		c.core.EndCall(id, answered)
+		c.core.EndCall(id, noRoom, c.clock.Now())
 	}
 }
 
@@ -99,8 +127,8 @@
 	c.Chooser.RecordSent(t, r)
 }
 
-// RecordAnswer implements edge.Chooser. A canceled request says nothing of the room for others.
+// RecordAnswer implements edge.Chooser.
 func (c chainChooser) RecordAnswer(t edge.Target, r *hop.Request, a *hop.Answer, took time.Duration) {
-	c.chains.endCall(r, isWhole(a) || a.Failure != nil && a.Failure.Kind == errkind.Canceled)
+	c.chains.endCall(r, foundNoRoom(a, took, r.TimeLeft(c.chains.clock.Now())))
 	c.Chooser.RecordAnswer(t, r, a, took)
 }
