--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-
 	"bytes"
 	"context"
 	"errors"
@@ -17,6 +16,7 @@
 	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 	"github.com/burdockfold/burdockfold/internal/forward"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/mesh"
 )
 
@@ -28,11 +28,18 @@
 type Client struct {
 	transport mesh.Transport
 	clock     ident.Clock
-	link      *LinkRoom // for the bodies of answers
+	link      *LinkRoom    // for the bodies of answers
+	memory    *held.Memory // of the answers
 }
 
 // NewClient returns a client that opens its streams on transport t.
-func NewClient(t mesh.Transport, c ident.Clock) *Client { return &Client{transport: t, clock: c} }
+func NewClient(t mesh.Transport, c ident.Clock) *Client {
+	return &Client{transport: t, clock: c, memory: &held.Memory{}}
+}
+
+// UseMemory makes the client hold its answers in a memory that others share. It must be called
+// before Send.
+func (c *Client) UseMemory(m *held.Memory) { c.memory = m }
 
 // SetLinkRoom sets the room for the bodies of answers on the link of this host. It must be
 // called before Send.
@@ -71,31 +78,52 @@
 	}
 	defer func() { _ = stream.Body().Close() }()
 	a, size, err := decodeAnswer(stream.Head(), c.clock.Now())
+	if err == nil {
+		err = checkStatus(a)
+	}
 	if err != nil {
 		return FailedAnswer(errkind.New(errkind.PeerProtocol, "%w", err))
 	}
-	if size > 0 {
-		a.Body, err = c.readAnswerBody(stream.Body(), to.Member.Host, size, r)
-	}
-	if err != nil {
+	if err := c.readAnswerBody(ctx, stream.Body(), to.Member.Host, a, size, r); err != nil {
+		a.Room.Release()
 		return FailedAnswer(errkind.New(errkind.AnswerCut, "%w", err))
 	}
+	a.Room.DoneReading()
 	return a
 }
 
-// readAnswerBody reads the body of the answer to r.
-func (c *Client) readAnswerBody(body io.Reader, from ident.Host, size int, r *Request) ([]byte, error) {
+// readAnswerBody reads the body of size bytes that follows the head of the answer to r, or
+// counts the one in the head.
+func (c *Client) readAnswerBody(ctx context.Context, body io.Reader, from ident.Host, a *Answer, size int, r *Request) error {
+	a.Room = c.memory.NewAnswer()
+	if size <= 0 {
+		return a.Room.Count(len(a.Body))
+	}
 	if err := checkBodySize(size); err != nil {
-		return nil, err
+		return err
+	}
+	read := readBody
+	if c.memory.Known() {
+		arrived := min(size, mesh.DefaultWindow) // is received while the answer waits for room
+		if err := a.Room.Count(arrived); err != nil {
+			return err
+		}
+		if err := a.Room.Grow(ctx, size); err != nil {
+			return err
+		}
+		a.Room.Uncount(arrived)
+		read = readExactly
 	}
 	b := bodyOf(r, from, size)
 	b.Kept = true
 	paced, e := c.link.open(body, b)
 	if e != nil {
-		return nil, e
+		return e
 	}
 	defer func() { _ = paced.Close() }()
-	return readBody(paced, size)
+	var err error
+	a.Body, err = read(paced, size)
+	return err
 }
 
 // bodyOf describes a body of a request or of the answer to it.
@@ -194,17 +222,43 @@
 	defer s.open.Add(-1)
 	arrived := s.clock.Now()
 	a := s.serve(ctx, from.Host, stream)
+	defer a.Room.Release()
 	a.Held = max(s.clock.Now().Sub(arrived), time.Millisecond)
 	a.Load.LinkWait = s.link.Wait()
 	head, rest, err := encodeAnswer(a, s.clock.Now(), inlineOn(stream, a.Body))
 	if err == nil {
-		err = stream.Respond(head, bytes.NewReader(rest))
+		err = s.respond(stream, head, rest)
 	}
 	if err != nil && ctx.Err() == nil {
 		s.log.Warn("hop_answer_failed", zap.Stringer("peer", from), zap.Error(err))
 	}
 }
 
+// respond sends an answer. A long one may be cut while the other daemon takes it slowly.
+func (s *Server) respond(stream mesh.ServerStream, head, rest []byte) error {
+	body := bytes.NewReader(rest)
+	aborter, ok := stream.(interface{ Abort() })
+	if len(rest) == 0 || !ok {
+		return stream.Respond(head, body)
+	}
+	reader := s.budget.Track(int64(len(rest)), time.Now(), aborter.Abort)
+	defer reader.End()
+	return stream.Respond(head, &takenBody{body, reader})
+}
+
+// takenBody is a body that records how much of it was taken.
+type takenBody struct {
+	*bytes.Reader
+	by *held.Reader
+}
+
+// Read implements io.Reader.
+func (b *takenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.by.Take(n)
+	return n, err
+}
+
 // serve decodes the request of a stream and passes it to the next handler. A request
 // that cannot be read is answered with PeerProtocol and has not been executed.
 func (s *Server) serve(ctx context.Context, from ident.Host, stream mesh.ServerStream) *Answer {
@@ -212,11 +266,14 @@
 	if err == nil {
 		err = checkBodySize(size)
 	}
-	if err == nil && size > 0 {
-		if !s.budget.Reserve(size) {
-			return s.refuse(r, errkind.New(errkind.Overloaded, "no room for a body of %d bytes", size))
+	if err == nil {
+		room := max(size, len(r.Body)) // the body follows the head or is in it
+		if !s.budget.Reserve(room) {
+			return s.refuse(r, errkind.New(errkind.Overloaded, "no room for a body of %d bytes", room))
 		}
-		defer s.budget.Release(size)
+		defer s.budget.Release(room)
+	}
+	if err == nil && size > 0 {
 		body, e := s.link.open(stream.Body(), bodyOf(r, from, size))
 		if e != nil {
 			return s.refuse(r, e)
--- a/internal/standin/shardserver/server.go
+++ b/internal/standin/shardserver/server.go
@@ -56,6 +56,7 @@
 	cut         *Cut          // answers are broken off; nil for none
 	endless     *Endless      // bytes without end take the place of answers; nil for none
 	calls       Calls         // made while it runs a request; zero for none
+	readPause   time.Duration // after each part of a request's body; see slow.go
 	closed      chan struct{} // closed by Close
 	closeOnce   sync.Once
 }
@@ -283,7 +284,7 @@
 		s.serveGrantCall(w, r)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := s.readBody(r.Body)
 	if err != nil {
 		return
 	}
