retry: callers refused for their calls return spread

Cause: calls-without-room states the same wait to all that are refused in a second, and its kind was not among those whose return is spread; they came back together. The test fails without the kind in the list.

--- a/internal/core/retry/after.go
+++ b/internal/core/retry/after.go
@@ -15,7 +15,7 @@
 // IsLoadRefusal reports whether a request of kind k was refused for lack of room or time.
 func IsLoadRefusal(k errkind.Kind) bool {
 	switch k {
-	case errkind.Overloaded, errkind.RateLimited, errkind.BackendRefused, errkind.BackendUnavailable, errkind.DeadlineBeforeStart:
+	case errkind.Overloaded, errkind.RateLimited, errkind.BackendRefused, errkind.BackendUnavailable, errkind.DeadlineBeforeStart, errkind.CallsWithoutRoom:
 		return true
 	}
 	return false
--- a/internal/core/retry/after_test.go
+++ b/internal/core/retry/after_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/burdockfold/burdockfold/internal/core/retry"
+	"github.com/burdockfold/burdockfold/internal/errkind"
 )
 
 // Load pattern: 100 callers are refused at the same instant. They used to return together
@@ -29,3 +30,9 @@
 		}
 	}
 }
+
+// Callers refused for the calls of their requests returned together after the same delay.
+func TestRefusalsForCallsAreSpread(t *testing.T) {
+	assert.Assert(t, retry.IsLoadRefusal(errkind.CallsWithoutRoom))
+	assert.Assert(t, !retry.IsLoadRefusal(errkind.Draining))
+}
