hop, transit: time that a request was held up on its way is not left to it

Cause: a request states the time left when it is sent.

Change: a request states the sender's clock (that also runs while a machine is suspended). The receiver takes the least difference to its own over 10 to 20 s for an undelayed message; what a request exceeds it by is subtracted from its deadline and target. If nothing is left it is refused as not run.

--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -66,6 +66,9 @@
 	// daemons, which go by their own configuration.
 	Regions, BarredRegions []ident.Region
 
+	// SentAt is when the daemon that sent the request last did so, by its clock; zero if it was
+	// not sent. Only differences to it count, since daemons share no clock.
+	SentAt ident.Instant
 	// Advisory is what the daemon where the request began knows of the target's backend
 	// server from earlier answers; nil if nothing.
 	Advisory *advisory.Advisory
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -6,13 +6,16 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/burdockfold/burdockfold/internal/bootclock"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/linkroom"
+	"github.com/burdockfold/burdockfold/internal/core/transit"
 	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/errkind"
 	"github.com/burdockfold/burdockfold/internal/forward"
@@ -64,6 +67,7 @@
 // fails, the answer holds a failure whose Truth says whether the request may have been
 // executed.
 func (c *Client) Send(ctx context.Context, to mesh.Peer, r *Request) *Answer {
+	r.SentAt = bootclock.Clock{}.Now()
 	head, rest, err := encodeRequest(r, c.clock.Now(), c.inlineTo(to, r.Body))
 	if err != nil {
 		return FailedAnswer(&errkind.Error{Kind: errkind.Internal, Truth: errkind.NotRun, Detail: err.Error(), Err: err})
@@ -186,11 +190,14 @@
 	open   atomic.Int64 // see OpenRequests
 	link   *LinkRoom    // for the bodies of requests
 	load   func() Load  // for answers of requests that do not reach next; may be nil
+
+	delaysMu sync.Mutex // guards delays
+	delays   *transit.Delays
 }
 
 // NewServer returns a server that passes requests to next. budget bounds their bodies.
 func NewServer(next Handler, budget *BodyBudget, c ident.Clock, log *zap.Logger) *Server {
-	return &Server{next: next, budget: budget, clock: c, log: log}
+	return &Server{next: next, budget: budget, clock: c, log: log, delays: transit.NewDelays()}
 }
 
 // SetLinkRoom sets the room for the bodies of requests on the link of this host, and what
@@ -221,7 +228,7 @@
 	s.open.Add(1)
 	defer s.open.Add(-1)
 	arrived := s.clock.Now()
-	a := s.serve(ctx, from.Host, stream)
+	a := s.serve(ctx, from, stream)
 	defer a.Room.Release()
 	a.Held = max(s.clock.Now().Sub(arrived), time.Millisecond)
 	a.Load.LinkWait = s.link.Wait()
@@ -259,13 +266,39 @@
 	return n, err
 }
 
+// subtractDelay subtracts the time that a request was held up on its way from the times left
+// that it states. It returns a failure if none is left: its caller does not wait any more.
+func (s *Server) subtractDelay(r *Request, from ident.Member) *errkind.Error {
+	if r.SentAt == 0 {
+		return nil
+	}
+	s.delaysMu.Lock()
+	delay := s.delays.Observe(from, r.SentAt, bootclock.Clock{}.Now())
+	s.delaysMu.Unlock()
+	r.Deadline = r.Deadline.Add(-delay)
+	if r.TargetTime > 0 {
+		r.TargetTime = max(r.TargetTime.Add(-delay), 1)
+	}
+	if left := r.TimeLeft(s.clock.Now()); left <= 0 && delay > 0 {
+		e := errkind.New(errkind.DeadlineBeforeStart, "%s on the way, %s ago", delay, -left)
+		e.Truth = errkind.NotRun
+		return e
+	}
+	return nil
+}
+
 // serve decodes the request of a stream and passes it to the next handler. A request
 // that cannot be read is answered with PeerProtocol and has not been executed.
-func (s *Server) serve(ctx context.Context, from ident.Host, stream mesh.ServerStream) *Answer {
+func (s *Server) serve(ctx context.Context, from ident.Member, stream mesh.ServerStream) *Answer {
 	r, size, err := decodeRequest(stream.Head(), s.clock.Now())
 	if err == nil {
 		err = checkBodySize(size)
 	}
+	if err == nil {
+		if e := s.subtractDelay(r, from); e != nil {
+			return s.refuse(r, e)
+		}
+	}
 	if err == nil {
 		room := max(size, len(r.Body)) // the body follows the head or is in it
 		if !s.budget.Reserve(room) {
@@ -274,7 +307,7 @@
 		defer s.budget.Release(room)
 	}
 	if err == nil && size > 0 {
-		body, e := s.link.open(stream.Body(), bodyOf(r, from, size))
+		body, e := s.link.open(stream.Body(), bodyOf(r, from.Host, size))
 		if e != nil {
 			return s.refuse(r, e)
 		}
--- a/internal/hop/wire.go
+++ b/internal/hop/wire.go
@@ -50,6 +50,7 @@
 	Trace        string
 	Advisory     *wireAdvisory
 	Suspicion    int
+	SentMS       int64 // by the sender's clock; zero means unknown
 }
 
 // wireAnswer is the CBOR array that encodes an answer. The order of the fields is the
@@ -113,7 +114,7 @@
 		ID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Header: flattenFields(r.Header),
 		TimeLeftMS: r.TimeLeft(now).Milliseconds(), TargetLeftMS: targetLeft(r.TargetTime, now), Key: r.Key, Service: string(r.Service),
 		Route: r.Route, Priority: r.Priority, Caller: r.Caller, Trace: r.Trace, Advisory: encodeAdvisory(r.Advisory, now),
-		Suspicion: r.Suspicion,
+		Suspicion: r.Suspicion, SentMS: int64(time.Duration(r.SentAt) / time.Millisecond),
 	}
 	w.Body, rest = splitBody(r.Body, inline)
 	w.BodySize = len(rest)
@@ -146,10 +147,21 @@
 		ID: w.ID, Method: w.Method, Host: w.Host, URI: w.URI, Header: fields, Body: w.Body,
 		Deadline: now.Add(left), TargetTime: targetTime(w.TargetLeftMS, now), Key: w.Key, Service: ident.Service(w.Service),
 		Route: w.Route, Priority: w.Priority, Caller: w.Caller, Trace: w.Trace, Advisory: decodeAdvisory(w.Advisory, now),
-		Suspicion: limitSuspicion(w.Suspicion),
+		Suspicion: limitSuspicion(w.Suspicion), SentAt: sentAt(w.SentMS),
 	}, w.BodySize, nil
 }
 
+// maxSentMS limits the time of a sender's clock, in milliseconds, so that it fits an instant.
+const maxSentMS = int64(math.MaxInt64 / int64(time.Millisecond))
+
+// sentAt returns the instant that a peer states in milliseconds, zero if it states none.
+func sentAt(ms int64) ident.Instant {
+	if ms <= 0 || ms > maxSentMS {
+		return 0
+	}
+	return ident.Instant(time.Duration(ms) * time.Millisecond)
+}
+
 // targetLeft returns the time until target in milliseconds, or zero if there is no
 // target. A target less than a millisecond away counts as passed, since zero means that
 // there is none.
