hop: an answer that the link will pace counts nothing that has not come

The join of the two parts counted a window of 1 MiB, or the whole body, for what arrives of an answer while it waits for memory. On a host that paces bodies nothing arrives before the link grants credit, so that answers kept each other from room.

TestLongAnswerToSlowHost (with -race): before, the long answer is cut, "too many bytes are held for others"; now both are taken, one without room is answer-cut with the truth unknown, and nothing stays counted.

--- a/internal/hop/linkroom_test.go
+++ b/internal/hop/linkroom_test.go
@@ -11,9 +11,11 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/burdockfold/burdockfold/internal/core/heldmem"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/linkroom"
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/mesh"
 	"github.com/burdockfold/burdockfold/internal/mesh/shaper"
 )
@@ -108,13 +110,27 @@
 }
 
 // The body of an answer to a host with a slow link is paced as well, and taken when it is late.
+// Until it has room in memory none of it comes; a short one does not wait for that room.
 func TestLongAnswerToSlowHost(t *testing.T) {
+	const long = 300_000
 	h := startSlowHost(t)
-	fast, peer := startMesh(t, "c", nil)
-	fast.SetHandlers(noControl{}, NewServer(&fixedAnswer{make([]byte, 300_000)}, &BodyBudget{}, h.clock, zap.NewNop()))
+	memory := held.New(heldmem.Limits{Total: 4 * long / 3, Over: 3 * long / 2, Bodies: long, Answers: long, Reading: long, Garbage: 1 << 40, Heap: 1, CutAfter: time.Second, GiveUp: 10 * time.Millisecond})
 	client := NewClient(h.mesh, h.clock)
 	client.SetLinkRoom(NewLinkRoom(slowMbps, h.mesh.BytesReceived, h.clock))
+	client.UseMemory(memory)
 	h.clock.step.Store(int64(10 * time.Millisecond))
-	a := client.Send(context.Background(), peer, &Request{Key: NoKey, Deadline: h.clock.Now().Add(100 * time.Millisecond)})
-	assert.Assert(t, a.Failure == nil && len(a.Body) == 300_000, "%v, %d bytes", a.Failure, len(a.Body))
+	get := func(host ident.Host, size int) *Answer {
+		fast, peer := startMesh(t, host, nil)
+		fast.SetHandlers(noControl{}, NewServer(&fixedAnswer{make([]byte, size)}, &BodyBudget{}, h.clock, zap.NewNop()))
+		return client.Send(context.Background(), peer, &Request{Key: NoKey, Deadline: h.clock.Now().Add(100 * time.Millisecond)})
+	}
+	a := get("c", long)
+	assert.Assert(t, a.Failure == nil && len(a.Body) == long, "%v, %d bytes", a.Failure, len(a.Body))
+	short := get("d", 20_000)
+	assert.Assert(t, short.Failure == nil && len(short.Body) == 20_000, "%v, %d bytes", short.Failure, len(short.Body))
+	full := get("e", long)
+	assert.Assert(t, full.Failure != nil && full.Failure.Kind == errkind.AnswerCut && full.Failure.Answer().Truth == errkind.Unknown, "%v", full.Failure)
+	a.Room.Release()
+	short.Room.Release()
+	eventuallyFree(t, memory)
 }
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -104,14 +104,9 @@
 	}
 	read := readBody
 	if c.memory.Known() {
-		arrived := min(size, mesh.DefaultWindow) // is received while the answer waits for room
-		if err := a.Room.Count(arrived); err != nil {
+		if err := c.awaitMemory(ctx, &a.Room, size); err != nil {
 			return err
 		}
-		if err := a.Room.Grow(ctx, size); err != nil {
-			return err
-		}
-		a.Room.Uncount(arrived)
 		read = readExactly
 	}
 	b := bodyOf(r, from, size)
@@ -126,6 +121,25 @@
 	return err
 }
 
+// awaitMemory reserves the bytes of a body that follows the head of an answer.
+func (c *Client) awaitMemory(ctx context.Context, m *held.Answer, size int) error {
+	if size < held.LongBytes {
+		return m.Count(size)
+	}
+	arrived := 0 // is received meanwhile: nothing if the link grants the credit, afterwards
+	if c.link == nil {
+		arrived = min(size, mesh.DefaultWindow)
+	}
+	if err := m.Count(arrived); err != nil {
+		return err
+	}
+	if err := m.Grow(ctx, size); err != nil {
+		return err
+	}
+	m.Uncount(arrived)
+	return nil
+}
+
 // bodyOf describes a body of a request or of the answer to it.
 func bodyOf(r *Request, from ident.Host, size int) linkroom.Body {
 	return linkroom.Body{From: from, Size: size, Class: r.Route, Priority: r.Priority, Target: r.TargetTime, Deadline: r.Deadline}
