mesh: a daemon that does not know of pacing keeps its window

The hello of a host with a slow link asked all peers to wait for credit. A daemon of before skips the field and sends its window: that was taken for an overrun, which ended the connection with all its streams, during each rolling update. Protocol version 2 says that a daemon waits for credit; peers of version 1 are served as before.

TestOldPeerIsNotPaced: without the look at the version, the body is cut (seen with -race).

--- a/internal/mesh/conn.go
+++ b/internal/mesh/conn.go
@@ -32,8 +32,9 @@
 	startedAt   int64 // see Mesh.now
 	peer        ident.Member
 	version     uint16
-	peerWindow  int // initial credit of a stream, from the peer's hello
-	peerUnpaced int // Config.UnpacedBytes of the peer
+	peerWindow  int  // initial credit of a stream, from the peer's hello
+	peerUnpaced int  // Config.UnpacedBytes of the peer
+	paced       bool // the peer sends no more of a body than was granted; an old one has a window
 
 	// Queues of the writer. Within a batch it prefers urgent to control and
 	// control to data.
@@ -77,6 +78,7 @@
 		readDone:    make(chan struct{}),
 		streams:     make(map[uint32]*stream),
 	}
+	c.paced = m.cfg.UnpacedBytes > 0 && c.version >= pacedVersion
 	if c.peerUnpaced > 0 {
 		c.peerWindow = 0
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -18,7 +18,10 @@
 
 // ProtocolVersion is the newest protocol version that this build supports. Two
 // daemons use the lower of their versions.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
+
+// pacedVersion is the version from which daemons wait for credit if a hello asks for it.
+const pacedVersion = 2
 
 // Message is a control message: its type name and its encoded content.
 type Message struct {
--- a/internal/mesh/paced.go
+++ b/internal/mesh/paced.go
@@ -13,7 +13,7 @@
 // it than was granted. The bodies of both sides of a stream implement it.
 type PacedBody interface {
 	io.Reader
-	// Grant allows the peer to send so many more bytes.
+	// Grant allows the peer to send so many more bytes. It has no effect on an old peer.
 	Grant(bytes int)
 	// StopBody makes pending and later reads fail with err unless the body has arrived.
 	StopBody(err error)
@@ -22,7 +22,7 @@
 // Grant implements PacedBody.
 func (s *stream) Grant(bytes int) {
 	s.mu.Lock()
-	ended := s.bodyEnded || s.err != nil
+	ended := s.bodyEnded || s.err != nil || !s.c.paced
 	if !ended {
 		s.receiveWindow += bytes
 	}
--- a/internal/mesh/protocol_test.go
+++ b/internal/mesh/protocol_test.go
@@ -50,6 +50,23 @@
 	assert.Assert(t, c.alive())
 }
 
+// TestOldPeerIsNotPaced checks that a peer that does not know of credit from zero may send its
+// window to a daemon with a slow link.
+func TestOldPeerIsNotPaced(t *testing.T) {
+	bodies := make(chan []byte, 1)
+	b := startNode(t, "b", func(_ context.Context, s ServerStream) {
+		body, err := io.ReadAll(s.Body())
+		assert.Check(t, err == nil, "%v", err)
+		bodies <- body
+	}, func(c *Config) { c.UnpacedBytes = 4 << 10 })
+	ws := rawPeer(t, b, pacedVersion-1)
+	message := appendFrame(nil, frameOpen, 1, nil)
+	message = appendFrame(message, frameData, 1, make([]byte, 20_000))
+	message = appendEnd(message, 1, 20_000)
+	assert.NilError(t, ws.WriteMessage(websocket.BinaryMessage, message))
+	assert.Equal(t, len(<-bodies), 20_000)
+}
+
 // TestFullPeerRefuses checks that a second stream to a peer that serves one at
 // a time fails with *UnsentError.
 func TestFullPeerRefuses(t *testing.T) {
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -68,7 +68,7 @@
 func (s *stream) init(c *conn, id uint32) {
 	s.c = c
 	s.id = id
-	if c.cfg.UnpacedBytes == 0 {
+	if !c.paced {
 		s.receiveWindow = c.cfg.Window
 	}
 	s.sendCredit = c.peerWindow
@@ -239,7 +239,7 @@
 		n += s.readChunk(p[n:])
 	}
 	s.ungrantedBytes += n
-	if s.bodyEnded || s.c.cfg.UnpacedBytes > 0 || s.ungrantedBytes < s.c.cfg.Window/2 {
+	if s.bodyEnded || s.c.paced || s.ungrantedBytes < s.c.cfg.Window/2 {
 		return n, 0, nil
 	}
 	grant = s.ungrantedBytes
