--- a/internal/edge/write.go
+++ b/internal/edge/write.go
@@ -24,11 +24,11 @@
 func holdAnswer(c net.Conn, a *hop.Answer) {
 	rc, ok := c.(*recordingConn)
 	if !ok || a.Failure != nil {
-		a.Room.Release()
+		a.Memory.Release()
 		return
 	}
 	rc.answer.Release()
-	rc.answer = a.Room
+	rc.answer = a.Memory
 }
 
 // Write implements net.Conn. It fails when the caller takes nothing for the unread time, or
--- a/internal/edge/write_test.go
+++ b/internal/edge/write_test.go
@@ -26,11 +26,11 @@
 type longAnswers struct{ memory *held.Memory }
 
 func (h longAnswers) Serve(ctx context.Context, _ *hop.Request) *hop.Answer {
-	a := &hop.Answer{Status: http.StatusOK, ReachedBackend: true, Body: bytes.Repeat([]byte("a"), slowAnswerBytes), Room: h.memory.NewAnswer()}
-	if err := a.Room.Grow(ctx, slowAnswerBytes); err != nil {
+	a := &hop.Answer{Status: http.StatusOK, ReachedBackend: true, Body: bytes.Repeat([]byte("a"), slowAnswerBytes), Memory: h.memory.NewAnswer()}
+	if err := a.Memory.Grow(ctx, slowAnswerBytes); err != nil {
 		panic(err)
 	}
-	a.Room.DoneReading()
+	a.Memory.DoneReading()
 	return a
 }
 
--- a/internal/hop/cut_test.go
+++ b/internal/hop/cut_test.go
@@ -158,11 +158,11 @@
 }
 
 func (h roomyAnswer) Serve(ctx context.Context, _ *Request) *Answer {
-	a := &Answer{Status: 200, Room: h.memory.NewAnswer()}
-	if err := a.Room.Grow(ctx, h.bytes); err != nil {
+	a := &Answer{Status: 200, Memory: h.memory.NewAnswer()}
+	if err := a.Memory.Grow(ctx, h.bytes); err != nil {
 		return FailedAnswer(errkind.New(errkind.AnswerCut, "%w", err))
 	}
-	a.Room.DoneReading()
+	a.Memory.DoneReading()
 	a.Body = make([]byte, h.bytes)
 	return a
 }
--- a/internal/hop/linkroom_test.go
+++ b/internal/hop/linkroom_test.go
@@ -130,7 +130,7 @@
 	assert.Assert(t, short.Failure == nil && len(short.Body) == 20_000, "%v, %d bytes", short.Failure, len(short.Body))
 	full := get("e", long)
 	assert.Assert(t, full.Failure != nil && full.Failure.Kind == errkind.AnswerCut && full.Failure.Answer().Truth == errkind.Unknown, "%v", full.Failure)
-	a.Room.Release()
-	short.Room.Release()
+	a.Memory.Release()
+	short.Memory.Release()
 	eventuallyFree(t, memory)
 }
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -88,7 +88,7 @@
 	Status         int
 	Header         []Field
 	Body           []byte
-	Room           held.Answer    // what Body takes of the memory here, until it is released; not sent to other daemons
+	Memory         held.Answer    // what Body takes here, until it is released; not sent to other daemons
 	Failure        *errkind.Error // nil if the backend server answered
 	ReachedBackend bool           // at least one byte of the request was, or may have been, sent to a backend server
 	Load           Load           // load of the backend server beside the daemon that answers
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -85,26 +85,26 @@
 		return FailedAnswer(errkind.New(errkind.PeerProtocol, "%w", err))
 	}
 	if err := c.readAnswerBody(ctx, stream.Body(), to.Member.Host, a, size, r); err != nil {
-		a.Room.Release()
+		a.Memory.Release()
 		return FailedAnswer(errkind.New(errkind.AnswerCut, "%w", err))
 	}
-	a.Room.DoneReading()
+	a.Memory.DoneReading()
 	return a
 }
 
 // readAnswerBody reads the body of size bytes that follows the head of the answer to r, or
 // counts the one in the head.
 func (c *Client) readAnswerBody(ctx context.Context, body io.Reader, from ident.Host, a *Answer, size int, r *Request) error {
-	a.Room = c.memory.NewAnswer()
+	a.Memory = c.memory.NewAnswer()
 	if size <= 0 {
-		return a.Room.Count(len(a.Body))
+		return a.Memory.Count(len(a.Body))
 	}
 	if err := checkBodySize(size); err != nil {
 		return err
 	}
 	read := readBody
 	if c.memory.Known() {
-		if err := c.awaitMemory(ctx, &a.Room, size); err != nil {
+		if err := c.awaitMemory(ctx, &a.Memory, size); err != nil {
 			return err
 		}
 		read = readExactly
@@ -236,7 +236,7 @@
 	defer s.open.Add(-1)
 	arrived := s.clock.Now()
 	a := s.serve(ctx, from.Host, stream)
-	defer a.Room.Release()
+	defer a.Memory.Release()
 	a.Held = max(s.clock.Now().Sub(arrived), time.Millisecond)
 	a.Load.LinkWait = s.link.Wait()
 	head, rest, err := encodeAnswer(a, s.clock.Now(), inlineOn(stream, a.Body))
--- a/internal/origin/fuzz_test.go
+++ b/internal/origin/fuzz_test.go
@@ -28,7 +28,7 @@
 		if a.Failure == nil && a.Status < 300 && (!bytes.Contains(bytes.ToLower(data), []byte("signature")) || !bytes.Contains(data, []byte("a"))) {
 			t.Fatalf("status %d from %q", a.Status, data)
 		}
-		a.Room.Release()
+		a.Memory.Release()
 		if total, _, answers := memory.Bytes(); total != 0 || answers != 0 {
 			t.Fatalf("%d and %d bytes stay counted", total, answers)
 		}
--- a/internal/origin/receive.go
+++ b/internal/origin/receive.go
@@ -42,8 +42,8 @@
 			continue
 		}
 		a := x.withStatement(x.checkAnswer(h, body), h)
-		if a.Room = room; a.Failure != nil {
-			a.Room.Release()
+		if a.Memory = room; a.Failure != nil {
+			a.Memory.Release()
 		}
 		return a, keep && x.conn.R.Buffered() == 0
 	}
