hop: a cut answer says that its request reached a server

Client.Send left ReachedBackend unset when it could not take an answer, for lack of memory or since the stream was cut. The dispatcher then counted no attempt, and repeated requests of repeatable routes without a charge to the repeat budget, just when memory is short.

TestLongAnswerToSlowHost: the answer without room, ReachedBackend false before.

--- a/internal/hop/linkroom_test.go
+++ b/internal/hop/linkroom_test.go
@@ -129,7 +129,7 @@
 	short := get("d", 20_000)
 	assert.Assert(t, short.Failure == nil && len(short.Body) == 20_000, "%v, %d bytes", short.Failure, len(short.Body))
 	full := get("e", long)
-	assert.Assert(t, full.Failure != nil && full.Failure.Kind == errkind.AnswerCut && full.Failure.Answer().Truth == errkind.Unknown, "%v", full.Failure)
+	assert.Assert(t, full.Failure != nil && full.Failure.Kind == errkind.AnswerCut && full.Failure.Answer().Truth == errkind.Unknown && full.ReachedBackend, "%v", full.Failure)
 	a.Memory.Release()
 	short.Memory.Release()
 	eventuallyFree(t, memory)
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -82,11 +82,11 @@
 		err = checkStatus(a)
 	}
 	if err != nil {
-		return FailedAnswer(errkind.New(errkind.PeerProtocol, "%w", err))
+		return &Answer{Failure: errkind.New(errkind.PeerProtocol, "%w", err), ReachedBackend: true}
 	}
 	if err := c.readAnswerBody(ctx, stream.Body(), to.Member.Host, a, size, r); err != nil {
 		a.Memory.Release()
-		return FailedAnswer(errkind.New(errkind.AnswerCut, "%w", err))
+		return &Answer{Failure: errkind.New(errkind.AnswerCut, "%w", err), ReachedBackend: a.ReachedBackend}
 	}
 	a.Memory.DoneReading()
 	return a
