--- a/internal/sidecar/linkroom.go
+++ b/internal/sidecar/linkroom.go
@@ -31,7 +31,9 @@
 	remote.SetLinkRoom(room)
 	d.hop.SetLinkRoom(room, func() hop.Load {
 		l := d.gate.SlotUsage()
-		return hop.Load{Running: l.Running, Waiting: l.Waiting, Slots: d.server.rosterEntry().Slots}
+		load := hop.Load{Running: l.Running, Waiting: l.Waiting, Slots: d.server.rosterEntry().Slots}
+		load.Room, load.Pace = d.gate.Room()
+		return load
 	})
 	return observeLinkRoom(d.telemetry.Meter(), room)
 }
