--- a/internal/core/heldmem/cut.go
+++ b/internal/core/heldmem/cut.go
@@ -29,8 +29,8 @@
 func (r Reader) cost(now ident.Instant) float64 { return float64(r.Held) * r.timeLeft(now) }
 
 // ChooseCut returns the readers to cut, by their indexes, so that need bytes come free: those
-// that would keep most memory for longest first. It returns fewer bytes if others will be done soon, and none
-// if no bytes are needed.
+// that would keep most memory for longest first. It returns fewer bytes if others will be done
+// soon, and none if no bytes are needed.
 func ChooseCut(readers []Reader, need int64, now ident.Instant) []int {
 	var slow []int
 	for i, r := range readers {
--- a/internal/core/linkroom/room.go
+++ b/internal/core/linkroom/room.go
@@ -223,9 +223,9 @@
 	r.queue = slices.DeleteFunc(r.queue, func(o *entry) bool { return o == e })
 }
 
-// Step returns the credit to grant now, the bodies that can no longer arrive in time, which
-// are forgotten unless all of them is on its way, and the time until the next call if no byte arrives before; zero means that
-// nothing waits.
+// Step returns the credit to grant now, the bodies that can no longer arrive in time, and the
+// time until the next call if no byte arrives before; zero means that nothing waits. The late
+// bodies are forgotten. One that was granted whole is not late: it may have been sent whole.
 func (r *Room) Step(now ident.Instant) (grants []Grant, late []ID, next time.Duration) {
 	r.refill(now)
 	for _, e := range slices.Clone(r.queue) {
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -110,7 +110,7 @@
 		read = readExactly
 	}
 	b := bodyOf(r, from, size)
-	b.Kept = true
+	b.Kept, b.Class = true, "" // no work is left once it has arrived
 	paced, e := c.link.open(body, b)
 	if e != nil {
 		return e
