heldmem: a reader that began only now is not cut

An answer to another daemon is recorded from its first byte. One that waits for the credit of a slow link had taken nothing, so that it looked like the slowest of all and went first when memory was short, a few ms after its request had run.

TestSlowReadersAreCutForOthers: without the change the fresh reader is chosen before one that took nothing for a minute.

--- a/internal/core/heldmem/cut.go
+++ b/internal/core/heldmem/cut.go
@@ -19,6 +19,10 @@
 // comes free by itself.
 const soonDone = time.Second
 
+// leastSeen is the time after which the pace of a reader is known. Before, another daemon may
+// not have granted credit for the first bytes.
+const leastSeen = 500 * time.Millisecond
+
 // timeLeft returns how long a reader will still take at its pace, without a bound if it has
 // taken nothing.
 func (r Reader) timeLeft(now ident.Instant) float64 {
@@ -30,11 +34,11 @@
 
 // ChooseCut returns the readers to cut, by their indexes, so that need bytes come free: those
 // that would keep most memory for longest first. It returns fewer bytes if others will be done
-// soon, and none if no bytes are needed.
+// soon or began only now, and none if no bytes are needed.
 func ChooseCut(readers []Reader, need int64, now ident.Instant) []int {
 	var slow []int
 	for i, r := range readers {
-		if r.timeLeft(now) > float64(soonDone) {
+		if now.Sub(r.Since) >= leastSeen && r.timeLeft(now) > float64(soonDone) {
 			slow = append(slow, i)
 		}
 	}
--- a/internal/core/heldmem/heldmem_test.go
+++ b/internal/core/heldmem/heldmem_test.go
@@ -75,4 +75,6 @@
 	}
 	assert.Assert(t, refused == 0 && whole >= 95 && cut > 50, "%d refused, %d read whole, %d cut", refused, whole, cut)
 	assert.Equal(t, len(ChooseCut([]Reader{{Held: size}}, 0, 1<<40)), 0, "nothing is needed")
+	fresh := Reader{Held: size, Since: ident.Instant(time.Minute)} // its link has granted it no credit yet
+	assert.DeepEqual(t, ChooseCut([]Reader{fresh, {Held: size / 8, Taken: 1}}, size, fresh.Since.Add(100*time.Millisecond)), []int{1})
 }
