held: a reader is not cut after its end

Readers to cut were chosen under the lock and cut after it. One that had ended meanwhile was reset on its caller's next request.

TestReaderIsNotCutAfterItsEnd: End returned while cut ran, before.

--- a/internal/held/held.go
+++ b/internal/held/held.go
@@ -338,6 +338,6 @@
 	m.mu.Unlock()
 	for _, r := range cut {
 		m.cuts.Add(1)
-		r.cut()
+		r.cutNow()
 	}
 }
--- a/internal/held/held_test.go
+++ b/internal/held/held_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,28 @@
 	"github.com/burdockfold/burdockfold/internal/core/heldmem"
 )
 
+// A connection that goes on to another request must not be cut for the answer before it.
+func TestReaderIsNotCutAfterItsEnd(t *testing.T) {
+	m := New(heldmem.Limits{Total: 2, Over: 4, Bodies: 1, Answers: 1, Reading: 1, Garbage: 1 << 40, Heap: 1, CutAfter: time.Millisecond, GiveUp: 100 * time.Millisecond})
+	first, second := m.NewAnswer(), m.NewAnswer()
+	assert.NilError(t, first.Grow(context.Background(), 1))
+	var ended atomic.Bool
+	cutting, returned := make(chan struct{}), make(chan struct{})
+	reader := m.Track(1<<20, time.Now().Add(-time.Minute), func() {
+		close(cutting)
+		time.Sleep(50 * time.Millisecond)
+		assert.Check(t, !ended.Load(), "cut after its end")
+	})
+	go func() {
+		defer close(returned)
+		<-cutting
+		reader.End()
+		ended.Store(true)
+	}()
+	assert.ErrorIs(t, second.Grow(context.Background(), 1), ErrFull)
+	<-returned
+}
+
 // Answers wait for room in their order, slow readers make room for them, and what finds none is
 // given up. In the end nothing stays counted.
 func TestAnswersWaitForRoom(t *testing.T) {
--- a/internal/held/reader.go
+++ b/internal/held/reader.go
@@ -1,6 +1,7 @@
 package held
 
 import (
+	"sync"
 	"time"
 
 	"github.com/burdockfold/burdockfold/internal/core/heldmem"
@@ -16,6 +17,9 @@
 	cut   func()
 	state heldmem.Reader // guarded by Memory.mu
 	isCut bool           // guarded by Memory.mu
+
+	ending sync.Mutex // held while cut runs; guards ended
+	ended  bool
 }
 
 // Track records a reader of an answer that holds some bytes, since a time. cut is called at
@@ -39,8 +43,20 @@
 	r.state.Taken += int64(bytes)
 }
 
-// End ends the record of the reader.
+// cutNow calls cut unless the reader has ended.
+func (r *Reader) cutNow() {
+	r.ending.Lock()
+	defer r.ending.Unlock()
+	if !r.ended {
+		r.cut()
+	}
+}
+
+// End ends the record of the reader. It is not cut afterwards.
 func (r *Reader) End() {
+	r.ending.Lock()
+	r.ended = true
+	r.ending.Unlock()
 	r.m.mu.Lock()
 	defer r.m.mu.Unlock()
 	delete(r.m.readers, r)
