--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -86,40 +86,35 @@
 		err = checkStatus(a)
 	}
 	if err != nil {
-		return FailedAnswer(errkind.New(errkind.PeerProtocol, "%w", err))
+		return &Answer{Failure: errkind.New(errkind.PeerProtocol, "%w", err), ReachedBackend: true}
 	}
 	if err := c.readAnswerBody(ctx, stream.Body(), to.Member.Host, a, size, r); err != nil {
-		a.Room.Release()
-		return FailedAnswer(errkind.New(errkind.AnswerCut, "%w", err))
+		a.Memory.Release()
+		return &Answer{Failure: errkind.New(errkind.AnswerCut, "%w", err), ReachedBackend: a.ReachedBackend}
 	}
-	a.Room.DoneReading()
+	a.Memory.DoneReading()
 	return a
 }
 
 // readAnswerBody reads the body of size bytes that follows the head of the answer to r, or
 // counts the one in the head.
 func (c *Client) readAnswerBody(ctx context.Context, body io.Reader, from ident.Host, a *Answer, size int, r *Request) error {
-	a.Room = c.memory.NewAnswer()
+	a.Memory = c.memory.NewAnswer()
 	if size <= 0 {
-		return a.Room.Count(len(a.Body))
+		return a.Memory.Count(len(a.Body))
 	}
 	if err := checkBodySize(size); err != nil {
 		return err
 	}
 	read := readBody
 	if c.memory.Known() {
-		arrived := min(size, mesh.DefaultWindow) // is received while the answer waits for room
-		if err := a.Room.Count(arrived); err != nil {
+		if err := c.awaitMemory(ctx, &a.Memory, size); err != nil {
 			return err
 		}
-		if err := a.Room.Grow(ctx, size); err != nil {
-			return err
-		}
-		a.Room.Uncount(arrived)
 		read = readExactly
 	}
 	b := bodyOf(r, from, size)
-	b.Kept = true
+	b.Kept, b.Class = true, "" // no work is left once it has arrived
 	paced, e := c.link.open(body, b)
 	if e != nil {
 		return e
@@ -130,6 +125,25 @@
 	return err
 }
 
+// awaitMemory reserves the bytes of a body that follows the head of an answer.
+func (c *Client) awaitMemory(ctx context.Context, m *held.Answer, size int) error {
+	if size < held.LongBytes {
+		return m.Count(size)
+	}
+	arrived := 0 // is received meanwhile: nothing if the link grants the credit, afterwards
+	if c.link == nil {
+		arrived = min(size, mesh.DefaultWindow)
+	}
+	if err := m.Count(arrived); err != nil {
+		return err
+	}
+	if err := m.Grow(ctx, size); err != nil {
+		return err
+	}
+	m.Uncount(arrived)
+	return nil
+}
+
 // bodyOf describes a body of a request or of the answer to it.
 func bodyOf(r *Request, from ident.Host, size int) linkroom.Body {
 	return linkroom.Body{From: from, Size: size, Class: r.Route, Priority: r.Priority, Target: r.TargetTime, Deadline: r.Deadline}
@@ -229,7 +243,7 @@
 	defer s.open.Add(-1)
 	arrived := s.clock.Now()
 	a := s.serve(ctx, from, stream)
-	defer a.Room.Release()
+	defer a.Memory.Release()
 	a.Held = max(s.clock.Now().Sub(arrived), time.Millisecond)
 	a.Load.LinkWait = s.link.Wait()
 	head, rest, err := encodeAnswer(a, s.clock.Now(), inlineOn(stream, a.Body))
