routes: a check of a configuration before it is sent

Cause: daemons refuse an invalid configuration, but pass over unknown fields, routes that never match and limits that contradict each other without a line.

DecodeConfig and Validate answer as before, but that Validate lists services by name instead of in random order.

--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -70,17 +71,31 @@
 // Validate returns all problems of the routes, joined, or nil.
 func (c Config) Validate() error {
 	var problems []error
-	for _, s := range c.Services {
-		if s.ColdRate < 0 || s.ColdRate != s.ColdRate {
-			problems = append(problems, fmt.Errorf("routes: service %q: invalid rate %g of cold servers", s.Name, s.ColdRate))
+	for _, f := range c.invalidEntries() {
+		problems = append(problems, fmt.Errorf("routes: %s: %s", f.Entry, f.Text))
+	}
+	return errors.Join(problems...)
+}
+
+// invalidEntries returns an error for each entry for which daemons refuse the configuration,
+// the services by name, then the routes in their order.
+func (c Config) invalidEntries() []Finding {
+	var found []Finding
+	for _, name := range c.serviceNames() {
+		if rate := c.Services[name].ColdRate; rate < 0 || rate != rate {
+			found = append(found, NewFinding(Error, ServiceEntry(name), "invalid rate %g of cold servers", rate))
 		}
 	}
 	for _, r := range c.Routes {
 		if err := c.validateRoute(r); err != nil {
-			problems = append(problems, fmt.Errorf("routes: route %q: %w", r.Name, err))
+			found = append(found, NewFinding(Error, RouteEntry(r.Name), "%s", err))
 		}
 	}
-	return errors.Join(problems...)
+	return found
+}
+
+func (c Config) serviceNames() []ident.Service {
+	return slices.Sorted(maps.Keys(c.Services))
 }
 
 func (c Config) validateRoute(r Route) error {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -33,6 +33,12 @@
 	defaultWait = 30 * time.Second
 )
 
+// PortLimits returns the most that callers may send whatever the configuration allows, and
+// how long the port waits for it.
+func PortLimits() routes.Limits {
+	return routes.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, HeaderTimeout: readTimeout, IdleTimeout: idleTimeout}
+}
+
 // RouteSource provides the routing table in force.
 type RouteSource interface {
 	// Routes returns the routing table in force, nil before the first configuration.
