ctl: config check lists errors, suspect entries and changes of a configuration

Cause: operators can only see what a configuration does after they have sent it.

Change: burdockctl config check FILE prints what routes.Check finds, also as JSON. The main program passes the decoder in. Other commands keep their exit codes.

--- a/cmd/burdockctl/main.go
+++ b/cmd/burdockctl/main.go
@@ -8,11 +8,14 @@
 	"syscall"
 
 	"github.com/burdockfold/burdockfold/internal/ctl"
+	"github.com/burdockfold/burdockfold/platform"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := ctl.Run(ctx, os.Args[1:], ctl.OSEnv())
+	env := ctl.OSEnv()
+	env.InspectConfig = platform.InspectConfig
+	code := ctl.Run(ctx, os.Args[1:], env)
 	stop()
 	os.Exit(int(code))
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -12,6 +12,8 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/burdockfold/burdockfold/internal/core/routes"
 )
 
 // ExitCode is the exit status of a command.
@@ -47,6 +49,10 @@
 	Stdout io.Writer
 	Stderr io.Writer
 	Now    func() time.Time
+
+	// InspectConfig decodes an operators' configuration for "config check", which is not
+	// possible if it is nil.
+	InspectConfig func(data []byte) routes.Document
 }
 
 // OSEnv is the environment of a process.
@@ -80,11 +86,17 @@
 	caFile  string
 	timeout time.Duration
 	format  string
+
+	usageExit    ExitCode // for wrong arguments
+	internalExit ExitCode // for a local failure
 }
 
 // Run parses the arguments, runs the command and returns its exit code.
 func Run(ctx context.Context, args []string, env Env) ExitCode {
-	a := &app{env: env}
+	a := &app{env: env, usageExit: ExitUsage, internalExit: ExitInternal}
+	if isConfigCheck(args) {
+		a.usageExit, a.internalExit = exitNotChecked, exitNotChecked
+	}
 	root := a.root()
 	if err := root.Parse(args); err != nil {
 		return a.parseFailed(err)
@@ -103,7 +115,7 @@
 		return e.code
 	default:
 		fmt.Fprintf(env.Stderr, "burdockctl: %v\n", err)
-		return ExitInternal
+		return a.internalExit
 	}
 }
 
@@ -112,12 +124,13 @@
 		return ExitOK
 	}
 	fmt.Fprintf(a.env.Stderr, "burdockctl: %v\n", err)
-	return ExitUsage
+	return a.usageExit
 }
 
 func (a *app) root() *ffcli.Command {
 	return a.group("burdockctl", "burdockctl <command>", "Operate a burdockfold cluster.",
 		a.sheetCommand(),
+		a.configCommand(),
 		a.serviceCommand(),
 		a.keyCommand(),
 		a.memberCommand(),
@@ -173,10 +186,10 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) < l.min || (l.max >= 0 && len(args) > l.max) {
-				return exitf(ExitUsage, "usage: burdockctl %s%s [flags] %s", parent, l.name, l.args)
+				return exitf(a.usageExit, "usage: burdockctl %s%s [flags] %s", parent, l.name, l.args)
 			}
 			if a.format != formatTable && a.format != formatJSON {
-				return exitf(ExitUsage, "-o must be %s or %s", formatTable, formatJSON)
+				return exitf(a.usageExit, "-o must be %s or %s", formatTable, formatJSON)
 			}
 			return l.run(ctx, args)
 		},
