linkroom: one sender holds at most half of the credit again

Cause: with the strict order of credit, the first body held all that may be in flight.

Change: a body has half of the credit at most, in pieces of 10 ms.

--- a/internal/core/linkroom/config.go
+++ b/internal/core/linkroom/config.go
@@ -20,8 +20,8 @@
 	largestUnpaced = 64 << 10
 
 	// pieceTime is the time on the link of what is granted at a time: each piece costs the
-	// processors of both ends several system calls, and two of them fill InFlight.
-	pieceTime = 20 * time.Millisecond
+	// processors of both ends several system calls, and a few of them fill InFlight.
+	pieceTime = 10 * time.Millisecond
 
 	bitsPerMbps = 1e6
 	bitsPerByte = 8
@@ -64,3 +64,7 @@
 
 // inFlightBytes returns the bytes that may be granted and not have arrived.
 func (c Config) inFlightBytes() float64 { return max(c.Rate*c.InFlight.Seconds(), float64(2*c.Piece)) }
+
+// bodyBytes returns the most credit in bytes that one sender holds, so that the link is not
+// idle while a slow one makes use of its credit.
+func (c Config) bodyBytes() int { return max(int(c.inFlightBytes()/2), c.Piece) }
--- a/internal/core/linkroom/room.go
+++ b/internal/core/linkroom/room.go
@@ -244,6 +244,9 @@
 		n, full := 0, false
 		for !r.isStale(now, e) && e.granted+n < e.Size && !full {
 			piece := min(r.cfg.Piece, e.Size-e.granted-n)
+			if e.granted+n-e.arrived+piece > r.cfg.bodyBytes()+int(r.travelling(e)) {
+				break
+			}
 			more := r.atLink(e, n+piece) - r.atLink(e, n)
 			if full = r.tokens < float64(piece) || onTheWay+more > r.cfg.inFlightBytes(); !full {
 				n += piece
