keyrange: the first claim after a loss of power moves the rows of all restarted owners

Change: a daemon that claims moves along the rows of owners whose later process or server instance it knows as ready and alive. Keys stay on their hosts, with a new fencing token for a new instance; daemons without rows to claim write nothing. After a restored log each claims for itself until the grants of the earlier era have ended.

--- a/internal/core/keyrange/planner.go
+++ b/internal/core/keyrange/planner.go
@@ -41,7 +41,7 @@
 	if w := a.reclaimHeldRows(now); w != nil {
 		return w
 	}
-	if w := a.reclaimRows(now); w != nil {
+	if w := a.reclaimRows(now, cs); w != nil {
 		return w
 	}
 	a.handOffAll(now, cs)
@@ -81,8 +81,11 @@
 // reclaimRows moves the rows of an earlier process of this daemon or an earlier
 // instance of its server to the current ones. Rows of the same instance keep their
 // fencing token, because nobody else held the keys in between, unless the server
-// refused it or it is from an earlier era of the log.
-func (a *Agent) reclaimRows(now ident.Instant) *Write {
+// refused it or it is from an earlier era of the log. The write moves the rows of other
+// restarted owners along: after a loss of power all owners claim at once, each write
+// replaces the whole table, and one after the other takes seconds. Their keys stay on their
+// hosts.
+func (a *Agent) reclaimRows(now ident.Instant, cs []Candidate) *Write {
 	if a.instance.ID == "" || !a.ready {
 		return nil
 	}
@@ -101,9 +104,40 @@
 	if !changed {
 		return nil
 	}
+	for _, r := range a.table.Rows {
+		to, ok := restartedOwner(cs, r.Owner)
+		if !ok || to.Member == a.member || a.table.IsSuspected(r.Owner.Member) || !a.settled(now) {
+			continue
+		}
+		if r.Owner.Instance != to.Instance {
+			r.Fence, r.TransferToken = fenceAt(a.nextOffset), ""
+		}
+		r.Owner = to
+		t = t.withRow(r)
+	}
 	return &Write{Table: t, Reason: "claim"}
 }
 
+// restartedOwner returns the later process or server instance on the host of an owner, if one
+// is known that may own keys.
+func restartedOwner(cs []Candidate, o Owner) (Owner, bool) {
+	i := slices.IndexFunc(cs, func(c Candidate) bool {
+		return c.Owner.Member.Host == o.Member.Host && c.Owner != o && c.Ready && c.Alive && c.Owner.supersedes(o)
+	})
+	if i < 0 {
+		return Owner{}, false
+	}
+	return cs[i].Owner, true
+}
+
+// supersedes reports whether o is a later process, or the same one beside a later instance.
+func (o Owner) supersedes(earlier Owner) bool {
+	if o.Member.Incarnation != earlier.Member.Incarnation {
+		return o.Member.Incarnation > earlier.Member.Incarnation
+	}
+	return o.Instance.StartedMS > earlier.Instance.StartedMS
+}
+
 // fenceAt returns the fencing token of the rows that a write at an offset moves.
 func fenceAt(at ident.Offset) uint64 { return uint64(at) + 1 }
 
