connlimit: callers that hold connections without progress leave room for others

Callers that took every connection a daemon accepts, each with the first bytes of a further request, kept all others out: no ordinary request was answered while they stayed.

Cause: above the limit only a connection without any request on it was closed. Where none was idle, that was the new one, at once.

Change: the table moves to a package of its own and knows what a connection waits for. Above the limit it closes the longest idle one, else the one on which a request has been read for longest, else the one whose client has been taking its answer for longest. A request that is being served is never cut. A request that was not read has not run, and an answer that is cut does not look whole.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/burdockfold/burdockfold/internal/connlimit"
 	"github.com/burdockfold/burdockfold/internal/connwatch"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/routes"
@@ -59,7 +60,7 @@
 	closeConns    atomic.Bool  // every answer closes its connection
 	refuseNew     atomic.Bool  // new requests are refused as draining
 	openRequests  atomic.Int64 // requests in progress
-	conns         *connTable
+	conns         *connlimit.Table
 	bodyBudget    *hop.BodyBudget
 	unread        *unreadBodies
 	unreadTime    time.Duration // see SetUnreadTime
@@ -67,12 +68,12 @@
 
 // NewServer returns a server that passes requests to a dispatcher. caller returns
 // the service on this host, which is the caller of all its requests.
-// stop bounds them, and budget their bodies. If more than maxConns connections are open, idle
-// ones are closed.
+// stop bounds them, and budget their bodies. If more than maxConns connections are open, those
+// that are used least are closed.
 func NewServer(names hop.HeaderNames, r RouteSource, d *Dispatcher, caller func() string, maxConns int, budget *hop.BodyBudget, stop *hop.Stop, clock ident.Clock, log *zap.Logger) *Server {
 	s := &Server{
 		headerNames: names, routes: r, dispatcher: d, callerService: caller, stop: stop, clock: clock, log: log,
-		connWatcher: connwatch.New(watchInterval), conns: newConnTable(maxConns), bodyBudget: budget, unread: newUnreadBodies(budget), unreadTime: DefaultUnreadTime,
+		connWatcher: connwatch.New(watchInterval), conns: connlimit.NewTable(maxConns), bodyBudget: budget, unread: newUnreadBodies(budget), unreadTime: DefaultUnreadTime,
 	}
 	s.http = &fasthttp.Server{
 		Handler:                       s.handleContained,
@@ -86,7 +87,7 @@
 		DisablePreParseMultipartForm:  true,
 		DisableHeaderNamesNormalizing: true,
 		CloseOnShutdown:               true,
-		ConnState:                     s.conns.setState,
+		ConnState:                     s.setState,
 		HeaderReceived:                s.unread.headerReceived,
 		StreamRequestBody:             true, // the handler reads it, into reserved memory
 		ErrorHandler:                  s.handleReadError,
@@ -98,7 +99,7 @@
 
 // Serve accepts connections of callers until Shutdown is called.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(callerListener{ln, s.bodyBudget, s.unreadTime})
+	return s.http.Serve(callerListener{ln, s.bodyBudget, s.conns, s.unreadTime})
 }
 
 // WatchCallers is the duty that cancels requests whose callers have disconnected.
@@ -116,7 +117,7 @@
 
 // ActiveConnections returns the number of connections on which a request is being served or
 // an answer written.
-func (s *Server) ActiveConnections() int { return s.conns.activeCount() }
+func (s *Server) ActiveConnections() int { return s.conns.Active() }
 
 // Shutdown stops accepting, closes idle connections and waits for requests in
 // progress until ctx ends.
@@ -148,7 +149,7 @@
 		s.handleReadError(ctx, err)
 		return
 	}
-	s.conns.begin(ctx.Conn())
+	s.conns.Begin(ctx.Conn())
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
 	if s.closeConns.Load() {
--- a/internal/edge/write.go
+++ b/internal/edge/write.go
@@ -49,6 +49,7 @@
 func (c *recordingConn) writeSlowly(p []byte, n int, began time.Time) (int, error) {
 	reader := c.memory.Track(c.answer.Bytes(), began, c.reset)
 	defer reader.End()
+	c.conns.Slow(c)
 	reader.Take(n)
 	for progress := began; ; {
 		now := time.Now()
@@ -74,9 +75,7 @@
 // reset closes the connection at once. The caller cannot take what it got for a whole answer,
 // whose length it was told or which ends in a last chunk.
 func (c *recordingConn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
+	_ = c.SetLinger(0) // it may have been closed
 	_ = c.Conn.Close()
 }
 
