sidecar: the local, the readiness and the metrics port bound their clients

Clients of the metrics address that read nothing, and clients of the local address that announced long bodies, made a daemon exceed its memory.

Cause: these ports had no limit of connections, no times for a call or its answer, and accepted bodies of 4 MiB.

Change: 32, 32 and 8 connections, above which those that are used least are closed; bodies of 256, 4 and 4 KiB; 10 s for a call and for its answer.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -337,15 +337,18 @@
 // startDuties starts the duties of the daemon in the group g.
 func (d *Daemon) startDuties(g *duty.Group, p *listeners) {
 	start := func(name string, f duty.Func) { g.GoContained(name, f, d.reportPanic) }
-	handlers := map[net.Listener]fasthttp.RequestHandler{
-		p.local:   d.adapter.HeartbeatHandler(d.server),
-		p.ready:   d.adapter.ReadinessHandler(d.isReady),
-		p.metrics: fasthttpadaptor.NewFastHTTPHandler(d.telemetry.MetricsHandler()),
-	}
-	for ln, h := range handlers {
-		s := &fasthttp.Server{Handler: d.containHandler(h), NoDefaultServerHeader: true, NoDefaultDate: true, ReadBufferSize: 4 << 10, IdleTimeout: time.Minute}
+	for _, served := range []struct {
+		ln      net.Listener
+		limits  portLimits
+		handler fasthttp.RequestHandler
+	}{
+		{p.local, localPort, d.adapter.HeartbeatHandler(d.server)},
+		{p.ready, readyPort, d.adapter.ReadinessHandler(d.isReady)},
+		{p.metrics, metricsPort, fasthttpadaptor.NewFastHTTPHandler(d.telemetry.MetricsHandler())},
+	} {
+		s := served.limits.newServer(d.containHandler(served.handler))
 		p.http = append(p.http, s)
-		start("port "+ln.Addr().String(), func(context.Context) error { return s.Serve(ln) })
+		start("port "+served.ln.Addr().String(), func(context.Context) error { return s.Serve(served.ln) })
 	}
 	start("callers", func(context.Context) error { return d.edge.Serve(p.caller) })
 	start("mesh", func(context.Context) error { return d.mesh.Serve(p.mesh) })
--- /dev/null
+++ b/internal/sidecar/smallports.go
@@ -0,0 +1,45 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/burdockfold/burdockfold/internal/connlimit"
+)
+
+// Limits of each of the ports other than those for callers and daemons.
+const (
+	portHeadBytes   = 4 << 10
+	portReadTimeout = 10 * time.Second // for a call
+	portWriteTime   = 10 * time.Second // for its answer
+	portIdleTimeout = time.Minute
+)
+
+// portLimits bound what the clients of a port can make the daemon hold.
+type portLimits struct {
+	connections int // above which those that are used least are closed
+	bodyBytes   int // of one call
+}
+
+var (
+	// localPort has one client, the backend server on this host. A heartbeat lists the keys that
+	// the server holds.
+	localPort = portLimits{connections: 32, bodyBytes: 256 << 10}
+	// readyPort is asked once a second.
+	readyPort = portLimits{connections: 32, bodyBytes: 4 << 10}
+	// metricsPort is read by few collectors. An answer takes up to some hundred kilobytes while it
+	// is made.
+	metricsPort = portLimits{connections: 8, bodyBytes: 4 << 10}
+)
+
+// newServer returns an HTTP server that keeps to the limits.
+func (l portLimits) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
+	s := &fasthttp.Server{
+		Handler: h, NoDefaultServerHeader: true, NoDefaultDate: true,
+		ReadBufferSize: portHeadBytes, MaxRequestBodySize: l.bodyBytes, DisablePreParseMultipartForm: true,
+		ReadTimeout: portReadTimeout, WriteTimeout: portWriteTime, IdleTimeout: portIdleTimeout,
+	}
+	connlimit.Apply(s, l.connections)
+	return s
+}
