edge: the memory of long heads is counted, bounded, and ends with their request

Callers that sent long heads and kept their connections ended a daemon.

Cause, traced with the HTTP library alone at 800 connections: it keeps the buffers of the longest head of a connection until the connection ends. A connection took 27 KB without, 59 KB after one field of 15 KB, and 304 KB after 3,750 fields of four bytes; 24 KiB were counted. The cookies of a head were divided into as many entries again, for requests that were then refused, too.

Change: the memory of a head is estimated from its length and its lines, and reserved while the request is served, at most a quarter of the bound for long heads; a request without room for its head is refused as not run. After the request has been parsed the buffers of a long head are dropped. Fields are read from the head as sent, cookies undivided. A connection counts 32 KiB; the share of connections rises from 0.5 to 0.55, so that a host of 284 MB admits 3,076 as before.

--- a/internal/core/heldmem/limits.go
+++ b/internal/core/heldmem/limits.go
@@ -28,10 +28,12 @@
 	// answerRoom is what request bodies leave to answers at least, if that lets them take more
 	// than their share: an answer of the highest length with a copy of it, and some more.
 	answerRoom = 24_000_000
+	// headShare is the share that long heads of requests may take.
+	headShare = 0.25
 	// overShare is the share beyond it that short holdings may take.
 	overShare = 0.125
 	// connectionShare is the share that the connections of callers may take.
-	connectionShare = 0.5
+	connectionShare = 0.55
 	// leastShare is the share of the process's memory that may be held on a host whose memory
 	// hardly exceeds the baseline.
 	leastShare = 0.1
@@ -39,8 +41,13 @@
 	garbageShare = 0.25
 )
 
-// ConnectionBytes is what a connection of a caller takes: its buffers, its stack and its state.
-const ConnectionBytes = 24 << 10
+const (
+	// ConnectionBytes is what a connection of a caller takes: its buffers, its stack and its state.
+	ConnectionBytes = 32 << 10
+	// ConnectionHeadBytes is the part of it for the head of the request that is served. More of a
+	// longer head is counted for as long as its request lasts.
+	ConnectionHeadBytes = 4 << 10
+)
 
 // Limits bound what a daemon holds for others, in bytes.
 type Limits struct {
@@ -50,6 +57,7 @@
 	Answers int64 // long answers, from their first byte to the last one that is taken
 	Reading int64 // those of them that are being read
 	Garbage int64 // released since the last collection, above which more room waits for another
+	Heads   int64 // long heads of the requests that are served
 	Heap    int64 // soft limit of the garbage collector; zero sets none
 
 	CutAfter time.Duration // wait for room before readers are cut
@@ -60,7 +68,10 @@
 // is not known.
 func LimitsOf(memory int64) Limits {
 	if memory <= 0 {
-		return Limits{Total: math.MaxInt64, Over: math.MaxInt64, Bodies: fixedBodies, Answers: math.MaxInt64, Reading: fixedReading}
+		return Limits{
+			Total: math.MaxInt64, Over: math.MaxInt64, Bodies: fixedBodies, Answers: math.MaxInt64, Reading: fixedReading,
+			Heads: math.MaxInt64,
+		}
 	}
 	total := max(heldShare*float64(memory-baseline), leastShare*float64(memory))
 	answers := int64(kindShare * total)
@@ -69,6 +80,7 @@
 		Bodies: min(max(answers, int64(total)-answerRoom), fixedBodies), Answers: answers, Reading: answers,
 		Heap:     max(memory-notOfGoHeap, memory/2),
 		Garbage:  int64(garbageShare * total),
+		Heads:    int64(headShare * total),
 		CutAfter: 300 * time.Millisecond, GiveUp: 2 * time.Second,
 	}
 }
--- a/internal/edge/conns.go
+++ b/internal/edge/conns.go
@@ -18,6 +18,7 @@
 func (s *Server) setState(c net.Conn, state fasthttp.ConnState) {
 	if rc, ok := c.(*recordingConn); ok && (state == fasthttp.StateIdle || state == fasthttp.StateClosed) {
 		rc.answer.Release() // it is written, or never will be
+		rc.releaseRequest()
 	}
 	s.conns.SetState(c, state)
 }
@@ -48,6 +49,8 @@
 	conns      *connlimit.Table
 	unreadTime time.Duration
 	answer     held.Answer // that is being written
+	served     bool        // room for a request is reserved
+	headBytes  int         // that is reserved for its head
 	ended      bool        // a read has met the end of what the caller sends
 	closed     atomic.Bool // Close was called
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -143,6 +143,13 @@
 		s.handleReadError(ctx, err)
 		return
 	}
+	defer dropLongHead(ctx)
+	if rc, ok := ctx.Conn().(*recordingConn); ok {
+		if err := rc.reserveRequest(&ctx.Request.Header); err != nil {
+			s.handleReadError(ctx, err)
+			return
+		}
+	}
 	b := requestBody{budget: s.bodyBudget}
 	defer b.release()
 	if err := b.read(ctx); err != nil {
@@ -157,6 +164,7 @@
 	}
 	arrived := s.clock.Now()
 	r, route, e := s.parseRequest(ctx, b.bytes, arrived)
+	dropLongHead(ctx) // the request has its own copy
 	if e != nil {
 		s.writeFailure(ctx, r, e)
 		return
@@ -260,7 +268,7 @@
 // fields of r.
 func (s *Server) copyFields(r *hop.Request, h *fasthttp.RequestHeader) *errkind.Error {
 	connectionFields := hop.ConnectionTokens(h.PeekAll(fasthttp.HeaderConnection))
-	for k, v := range h.All() {
+	for k, v := range fieldsOf(h) {
 		name := string(k)
 		switch {
 		case strings.EqualFold(name, s.headerNames.ShardKey):
@@ -288,7 +296,7 @@
 // headerValue returns the first value of a header field, matched without regard to
 // case, or "" if the header has no such field.
 func headerValue(h *fasthttp.RequestHeader, name string) string {
-	for k, v := range h.All() {
+	for k, v := range fieldsOf(h) {
 		if strings.EqualFold(string(k), name) {
 			return string(v)
 		}
--- a/internal/held/held.go
+++ b/internal/held/held.go
@@ -30,6 +30,7 @@
 	limits heldmem.Limits // zero stands for those of unknown memory
 
 	total, bodies, answers, reading atomic.Int64
+	heads                           atomic.Int64 // of total: in long heads
 	waiting                         atomic.Int32 // length of waiters
 	cuts, unread                    atomic.Int64
 	garbage                         atomic.Int64 // long holdings that were released since the last collect
@@ -135,6 +136,31 @@
 // RemoveConnection is the inverse of AddConnection.
 func (m *Memory) RemoveConnection() { m.free(heldmem.ConnectionBytes) }
 
+// ReserveRequest reserves what a request of a caller takes while it is served, besides its body,
+// and reports whether there is room for it: its head beyond what the connection is counted for.
+// The caller calls ReleaseRequest with the same length.
+func (m *Memory) ReserveRequest(head int) bool {
+	l, n := m.bounds(), int64(head)
+	if n > 0 && !add(&m.heads, n, l.Heads) {
+		m.garbage.Add(n) // it has been parsed
+		m.collect()
+		return false
+	}
+	if add(&m.total, n, l.Over) {
+		return true
+	}
+	m.heads.Add(-n)
+	return false
+}
+
+// ReleaseRequest is the inverse of ReserveRequest.
+func (m *Memory) ReleaseRequest(head int) {
+	n := int64(head)
+	m.heads.Add(-n)
+	m.garbage.Add(n)
+	m.free(n)
+}
+
 // free subtracts bytes from the total and wakes those that wait for them.
 func (m *Memory) free(n int64) {
 	m.total.Add(-n)
