edge, origin: the kernel's buffers of connections are bounded and counted

What callers sent ahead and what they did not take filled the kernel's buffers of a daemon's sockets, beyond the memory of the host: 201 MB for one daemon.

Cause: the kernel enlarges the buffers of a socket by itself, up to several megabytes, and nothing counted them. Answers that waited for room filled those of the connections to the server.

Change: connections of clients have buffers of 16 KiB each, set on the listener; a request that is served counts them. A long body or answer enlarges them while there is room in an eighth of the bound. Of the answers that callers of idle connections leave unread the kernel keeps an eighth of the bound; a duty closes those that have been idle for longest above it, and sleeps while there are too few of them. Connections whose peer takes nothing for resources.unread_time end in the kernel. Connections to the server have buffers of 64 KiB.

--- a/internal/connlimit/table.go
+++ b/internal/connlimit/table.go
@@ -26,7 +26,9 @@
 
 // Table holds the open connections of a server. It is safe for concurrent use.
 type Table struct {
-	limit int // of open connections
+	limit   int // of open connections
+	unread  unreadLimits
+	crowded chan struct{} // wakes CutUnread; capacity 1
 
 	mu      sync.Mutex // guards the fields below
 	conns   map[net.Conn]*entry
@@ -44,7 +46,7 @@
 
 // NewTable returns a table of at most limit open connections.
 func NewTable(limit int) *Table {
-	t := &Table{limit: limit, conns: make(map[net.Conn]*entry)}
+	t := &Table{limit: limit, crowded: make(chan struct{}, 1), conns: make(map[net.Conn]*entry)}
 	for i := range t.waiting {
 		t.waiting[i] = list.New()
 	}
@@ -184,6 +186,7 @@
 	if e.stage = to; to != serving {
 		e.element = t.waiting[to].PushBack(c)
 	}
+	t.signalCrowd()
 }
 
 // remove removes a connection. The caller holds t.mu.
--- a/internal/connlimit/table_test.go
+++ b/internal/connlimit/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -73,3 +74,35 @@
 	assert.Equal(t, len(table.conns), limit)
 	assert.Equal(t, table.Active(), limit)
 }
+
+// Clients leave their answers unread. Those that have done so for longest lose their connections
+// until the rest is within the limit; an answer that is on its way is left to its client.
+func TestUnreadAnswersAreBounded(t *testing.T) {
+	var all []idleConn
+	for i := range 10 {
+		c, other := net.Pipe()
+		defer func() { _, _ = c.Close(), other.Close() }()
+		all = append(all, idleConn{c, 1000, i != 0 && i < 8})
+	}
+	assert.Equal(t, len(chooseUnread(all, 10_000)), 0)
+	assert.DeepEqual(t, indexes(all, chooseUnread(all, 7_500)), []int{1, 2, 3})
+	assert.Equal(t, len(chooseUnread(all, 0)), 7, "three were seen for the first time")
+
+	table := NewTable(100)
+	table.LimitUnread(1000, 2000)
+	for i := range 3 {
+		assert.Equal(t, len(table.crowded), 0)
+		table.record(all[i].conn, fasthttp.StateNew)
+	}
+	assert.Equal(t, len(table.crowded), 1, "three might hold 3000 bytes")
+}
+
+func indexes(all []idleConn, chosen []net.Conn) []int {
+	var found []int
+	for i, c := range all {
+		if slices.Contains(chosen, c.conn) {
+			found = append(found, i)
+		}
+	}
+	return found
+}
--- a/internal/core/heldmem/limits.go
+++ b/internal/core/heldmem/limits.go
@@ -30,6 +30,9 @@
 	answerRoom = 24_000_000
 	// headShare is the share that long heads of requests may take.
 	headShare = 0.25
+	// socketShare is the share that the kernel may hold of answers which the callers of idle
+	// connections have not taken, and likewise the buffers of connections with long bodies.
+	socketShare = 0.125
 	// overShare is the share beyond it that short holdings may take.
 	overShare = 0.125
 	// connectionShare is the share that the connections of callers may take.
@@ -47,6 +50,16 @@
 	// ConnectionHeadBytes is the part of it for the head of the request that is served. More of a
 	// longer head is counted for as long as its request lasts.
 	ConnectionHeadBytes = 4 << 10
+	// SocketBuffer is the size of each of the kernel's two buffers of a caller's connection.
+	SocketBuffer = 16 << 10
+	// RequestSocketBytes is what a connection keeps in the kernel while its request is served:
+	// what its caller sends ahead, and what the caller has not taken. The kernel allows twice the
+	// size of a buffer, for its own structures.
+	RequestSocketBytes = 2 * 2 * SocketBuffer
+	// WideSocketBuffer is the size of the buffers of a connection with long bodies or answers.
+	WideSocketBuffer = 128 << 10
+	// WideSocketBytes is what these connections take beyond RequestSocketBytes.
+	WideSocketBytes = 2*2*WideSocketBuffer - RequestSocketBytes
 )
 
 // Limits bound what a daemon holds for others, in bytes.
@@ -58,6 +71,8 @@
 	Reading int64 // those of them that are being read
 	Garbage int64 // released since the last collection, above which more room waits for another
 	Heads   int64 // long heads of the requests that are served
+	Unread  int64 // of answers, in the kernel, for callers of idle connections
+	Wide    int64 // in the kernel, for connections with long bodies or answers
 	Heap    int64 // soft limit of the garbage collector; zero sets none
 
 	CutAfter time.Duration // wait for room before readers are cut
@@ -70,7 +85,7 @@
 	if memory <= 0 {
 		return Limits{
 			Total: math.MaxInt64, Over: math.MaxInt64, Bodies: fixedBodies, Answers: math.MaxInt64, Reading: fixedReading,
-			Heads: math.MaxInt64,
+			Heads: math.MaxInt64, Unread: math.MaxInt64, Wide: math.MaxInt64,
 		}
 	}
 	total := max(heldShare*float64(memory-baseline), leastShare*float64(memory))
@@ -81,6 +96,8 @@
 		Heap:     max(memory-notOfGoHeap, memory/2),
 		Garbage:  int64(garbageShare * total),
 		Heads:    int64(headShare * total),
+		Unread:   int64(socketShare * total),
+		Wide:     int64(socketShare * total),
 		CutAfter: 300 * time.Millisecond, GiveUp: 2 * time.Second,
 	}
 }
--- a/internal/edge/bodies.go
+++ b/internal/edge/bodies.go
@@ -87,6 +87,9 @@
 	if err := b.grow(announced); err != nil {
 		return err
 	}
+	if rc, ok := ctx.Conn().(*recordingConn); ok && announced >= hop.MinBudgetedBody {
+		rc.widen()
+	}
 	b.bytes = b.bytes[:announced]
 	_, err := io.ReadFull(stream, b.bytes)
 	return err
--- a/internal/edge/conns.go
+++ b/internal/edge/conns.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/burdockfold/burdockfold/internal/connlimit"
+	"github.com/burdockfold/burdockfold/internal/core/heldmem"
 	"github.com/burdockfold/burdockfold/internal/held"
 )
 
@@ -51,6 +52,7 @@
 	answer     held.Answer // that is being written
 	served     bool        // room for a request is reserved
 	headBytes  int         // that is reserved for its head
+	wide       bool        // its kernel buffers have been enlarged
 	ended      bool        // a read has met the end of what the caller sends
 	closed     atomic.Bool // Close was called
 }
@@ -79,6 +81,21 @@
 	return nil
 }
 
+// widen enlarges the kernel's buffers of the connection for a long body or answer, if there is
+// room for that. Without, both take more round trips.
+func (c *recordingConn) widen() {
+	tcp, ok := c.Conn.(interface {
+		SetReadBuffer(int) error
+		SetWriteBuffer(int) error
+	})
+	if !ok || c.wide || !c.memory.WidenSocket() {
+		return
+	}
+	c.wide = true
+	_ = tcp.SetReadBuffer(heldmem.WideSocketBuffer)  // it may have been closed
+	_ = tcp.SetWriteBuffer(heldmem.WideSocketBuffer) // as above
+}
+
 // sendingEnded reports whether a read has met the end of what the caller sends. Then a
 // message that it was needed for is incomplete.
 func sendingEnded(c net.Conn) bool {
--- a/internal/edge/served.go
+++ b/internal/edge/served.go
@@ -25,8 +25,9 @@
 	return max(size-heldmem.ConnectionHeadBytes, 0)
 }
 
-// reserveRequest reserves what a request takes while it is served, besides its body: its head. The
-// connection keeps the reservation until the answer has been written.
+// reserveRequest reserves what a request takes while it is served, besides its body: its head, and
+// the kernel's buffers of the connection, which keeps the reservation until the answer has been
+// written.
 func (c *recordingConn) reserveRequest(h *fasthttp.RequestHeader) error {
 	head := headMemory(h)
 	if !c.memory.ReserveRequest(head) {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/burdockfold/burdockfold/internal/connlimit"
 	"github.com/burdockfold/burdockfold/internal/connwatch"
+	"github.com/burdockfold/burdockfold/internal/core/heldmem"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/routes"
 	"github.com/burdockfold/burdockfold/internal/duty"
@@ -75,6 +76,7 @@
 		headerNames: names, routes: r, dispatcher: d, callerService: caller, stop: stop, clock: clock, log: log,
 		connWatcher: connwatch.New(watchInterval), conns: connlimit.NewTable(maxConns), bodyBudget: budget, unread: newUnreadBodies(budget), unreadTime: DefaultUnreadTime,
 	}
+	s.conns.LimitUnread(2*heldmem.SocketBuffer, int(budget.UnreadBytes()))
 	s.http = &fasthttp.Server{
 		Handler:                       s.handleContained,
 		ReadBufferSize:                maxHeaderBytes,
@@ -105,6 +107,10 @@
 // WatchCallers is the duty that cancels requests whose callers have disconnected.
 func (s *Server) WatchCallers(ctx context.Context) error { return s.connWatcher.Run(ctx) }
 
+// CutUnread is the duty that closes idle connections whose callers leave too much of their answers
+// unread.
+func (s *Server) CutUnread(ctx context.Context) error { return s.conns.CutUnread(ctx) }
+
 // CloseConnectionsAfterAnswers makes the server close each connection after its next
 // answer, so that callers connect elsewhere.
 func (s *Server) CloseConnectionsAfterAnswers() { s.closeConns.Store(true) }
--- a/internal/edge/write.go
+++ b/internal/edge/write.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"github.com/burdockfold/burdockfold/internal/held"
 	"github.com/burdockfold/burdockfold/internal/hop"
 )
 
@@ -34,6 +35,9 @@
 // Write implements net.Conn. It fails when the caller takes nothing for the unread time, or
 // when the memory is needed for others and this caller is the slowest.
 func (c *recordingConn) Write(p []byte) (int, error) {
+	if len(p) >= held.LongBytes {
+		c.widen()
+	}
 	began := time.Now()
 	if err := c.SetWriteDeadline(began.Add(slowAfter)); err != nil {
 		return 0, err
@@ -83,6 +87,9 @@
 func (c *recordingConn) Close() error {
 	if !c.closed.Swap(true) {
 		c.memory.RemoveConnection()
+		if c.wide {
+			c.memory.NarrowSocket()
+		}
 	}
 	return c.Conn.Close()
 }
--- a/internal/held/held.go
+++ b/internal/held/held.go
@@ -30,7 +30,7 @@
 	limits heldmem.Limits // zero stands for those of unknown memory
 
 	total, bodies, answers, reading atomic.Int64
-	heads                           atomic.Int64 // of total: in long heads
+	heads, wide                     atomic.Int64 // of total: in long heads, and in wide sockets
 	waiting                         atomic.Int32 // length of waiters
 	cuts, unread                    atomic.Int64
 	garbage                         atomic.Int64 // long holdings that were released since the last collect
@@ -137,8 +137,8 @@
 func (m *Memory) RemoveConnection() { m.free(heldmem.ConnectionBytes) }
 
 // ReserveRequest reserves what a request of a caller takes while it is served, besides its body,
-// and reports whether there is room for it: its head beyond what the connection is counted for.
-// The caller calls ReleaseRequest with the same length.
+// and reports whether there is room for it: the kernel's buffers of its connection, and its head
+// beyond what the connection is counted for. The caller calls ReleaseRequest with the same length.
 func (m *Memory) ReserveRequest(head int) bool {
 	l, n := m.bounds(), int64(head)
 	if n > 0 && !add(&m.heads, n, l.Heads) {
@@ -146,7 +146,7 @@
 		m.collect()
 		return false
 	}
-	if add(&m.total, n, l.Over) {
+	if add(&m.total, n+heldmem.RequestSocketBytes, l.Over) {
 		return true
 	}
 	m.heads.Add(-n)
@@ -158,9 +158,33 @@
 	n := int64(head)
 	m.heads.Add(-n)
 	m.garbage.Add(n)
-	m.free(n)
+	m.free(n + heldmem.RequestSocketBytes)
+}
+
+// WidenSocket counts the larger buffers of a connection and reports whether there is room for
+// them. The caller calls NarrowSocket at the end of the connection.
+func (m *Memory) WidenSocket() bool {
+	l := m.bounds()
+	if !add(&m.wide, heldmem.WideSocketBytes, l.Wide) {
+		return false
+	}
+	if add(&m.total, heldmem.WideSocketBytes, l.Total) {
+		return true
+	}
+	m.wide.Add(-heldmem.WideSocketBytes)
+	return false
 }
 
+// NarrowSocket is the inverse of WidenSocket.
+func (m *Memory) NarrowSocket() {
+	m.wide.Add(-heldmem.WideSocketBytes)
+	m.free(heldmem.WideSocketBytes)
+}
+
+// UnreadBytes returns how many bytes of answers the kernel may hold for callers of idle
+// connections.
+func (m *Memory) UnreadBytes() int64 { return m.bounds().Unread }
+
 // free subtracts bytes from the total and wakes those that wait for them.
 func (m *Memory) free(n int64) {
 	m.total.Add(-n)
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/burdockfold/burdockfold/internal/netlimit"
 )
 
 const (
@@ -13,6 +15,10 @@
 	idleConnTimeout = 30 * time.Second // upper bound; a server may announce a shorter time
 )
 
+// serverSockets bounds what the kernel holds of answers that wait for room, and of requests that a
+// server reads slowly. The server is on this host.
+var serverSockets = netlimit.Sockets{BufferBytes: 64 << 10}
+
 // ErrNoConnection means that the context ended before the limit of the pool
 // allowed another connection.
 var ErrNoConnection = errors.New("httpconn: no free connection")
@@ -49,7 +55,7 @@
 			return c, nil
 		}
 	}
-	d := net.Dialer{Timeout: dialTimeout}
+	d := net.Dialer{Timeout: dialTimeout, Control: serverSockets.ControlDial}
 	nc, err := d.DialContext(ctx, "tcp", p.Addr)
 	if err != nil {
 		<-p.inUse
--- a/internal/netlimit/netlimit.go
+++ b/internal/netlimit/netlimit.go
@@ -41,8 +41,9 @@
 // lacks the means for another connection.
 type Listener struct {
 	net.Listener
-	log    *zap.Logger
-	delays *backoff.ExponentialBackOff
+	log         *zap.Logger
+	delays      *backoff.ExponentialBackOff
+	unackedTime time.Duration // of its connections; zero sets none
 }
 
 // NewListener returns a listener on top of ln. Only one goroutine may call Accept.
@@ -58,6 +59,11 @@
 		c, err := l.Listener.Accept()
 		if err == nil || !isTemporary(err) {
 			l.delays.Reset()
+			if err == nil && l.unackedTime > 0 {
+				if err := limitUnacked(c, l.unackedTime); err != nil {
+					l.log.Debug("socket_options_failed", zap.Stringer("addr", l.Addr()), zap.Error(err)) // the peer may have left
+				}
+			}
 			return c, err
 		}
 		if !failed {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -320,14 +320,17 @@
 func (d *Daemon) listen() (*listeners, error) {
 	p := &listeners{}
 	var errs []error
-	open := func(addr string) net.Listener {
-		ln, err := net.Listen("tcp4", addr)
+	sockets := netlimit.Sockets{BufferBytes: heldmem.SocketBuffer, UnackedTime: d.cfg.Resources.UnreadTime}
+	open := func(addr string) net.Listener { // for clients
+		ln, err := sockets.Listen(addr, d.log)
 		errs = append(errs, err)
-		return netlimit.NewListener(ln, d.log)
+		return ln
 	}
 	l := d.cfg.Listen
-	p.caller, p.mesh, p.local = open(l.Caller), open(l.Mesh), open(l.Local)
-	p.ready, p.metrics = open(l.Ready), open(l.Metrics)
+	p.caller, p.local, p.ready, p.metrics = open(l.Caller), open(l.Local), open(l.Ready), open(l.Metrics)
+	mesh, err := net.Listen("tcp4", l.Mesh)
+	errs = append(errs, err)
+	p.mesh = netlimit.NewListener(mesh, d.log)
 	if err := errors.Join(errs...); err != nil {
 		return nil, fmt.Errorf("sidecar: %w", err)
 	}
@@ -353,6 +356,7 @@
 	start("callers", func(context.Context) error { return d.edge.Serve(p.caller) })
 	start("mesh", func(context.Context) error { return d.mesh.Serve(p.mesh) })
 	start("caller-watch", d.edge.WatchCallers)
+	start("unread-answers", d.edge.CutUnread)
 	start("slots", d.gate.Run)
 	start("config", d.configs.follow)
 	start("register", d.peers.register)
