connlimit: connections that were closed with an unread answer are bounded

Callers that took nothing of an answer and made the daemon close the connection, again and again, filled the memory of the host with what the kernel still had to deliver.

Cause: after a close the kernel keeps what the peer has not taken until it gives up. No part of the daemon knows these connections any more.

Change: above a rate at which they could keep an eighth of the bound, the daemon ends its side of a connection and keeps it until its client has taken all. Those that have waited for longest are reset while all together keep more than another eighth. A client that reads gets all of its answer.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/burdockfold/burdockfold/internal/admitting"
 	"github.com/burdockfold/burdockfold/internal/bootclock"
+	"github.com/burdockfold/burdockfold/internal/connlimit"
 	"github.com/burdockfold/burdockfold/internal/core/admission"
 	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/balance"
@@ -93,6 +94,8 @@
 
 	limits heldmem.Limits // of memory
 	memory *held.Memory   // what is held for others
+
+	drainer *connlimit.Drainer // closes connections of clients
 }
 
 // New returns a daemon that has not opened its ports yet.
@@ -105,6 +108,7 @@
 		limits: heldmem.LimitsOf(int64(cfg.Resources.MemoryMB) * 1_000_000),
 	}
 	d.memory = held.New(d.limits)
+	d.drainer = connlimit.NewDrainer(2*heldmem.SocketBuffer, int(d.limits.Unread), cfg.Resources.UnreadTime)
 	d.service.Store(&cfg.Service)
 	policy := admission.DefaultConfig(initialSlots)
 	policy.CallsFirst = cfg.Calls.Protect
@@ -324,7 +328,7 @@
 	open := func(addr string) net.Listener { // for clients
 		ln, err := sockets.Listen(addr, d.log)
 		errs = append(errs, err)
-		return ln
+		return d.drainer.Listener(ln)
 	}
 	l := d.cfg.Listen
 	p.caller, p.local, p.ready, p.metrics = open(l.Caller), open(l.Local), open(l.Ready), open(l.Metrics)
@@ -357,6 +361,7 @@
 	start("mesh", func(context.Context) error { return d.mesh.Serve(p.mesh) })
 	start("caller-watch", d.edge.WatchCallers)
 	start("unread-answers", d.edge.CutUnread)
+	start("closed-connections", d.drainer.Run)
 	start("slots", d.gate.Run)
 	start("config", d.configs.follow)
 	start("register", d.peers.register)
