connlimit: the first request of a connection is not idle once its head is read

A caller that sent the body of its first request counted as idle until the body was whole, and was the first to lose its connection above the limit. It now counts as one that is being read. The answer to a request with a long head whose handling panicked bears its id again. Read while the tests of crowds were written; replayed by TestFirstBodyIsNotIdle, which does not build on the code before, as it had no such state.

--- a/internal/connlimit/table.go
+++ b/internal/connlimit/table.go
@@ -146,6 +146,15 @@
 	return newest
 }
 
+// Reading records that the head of a request has been read from a connection, and its body is not.
+func (t *Table) Reading(c net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.conns[c]; e != nil && e.stage == idle {
+		t.move(c, e, reading)
+	}
+}
+
 // Begin records that a whole request has been read from a connection.
 func (t *Table) Begin(c net.Conn) {
 	t.mu.Lock()
--- a/internal/connlimit/table_test.go
+++ b/internal/connlimit/table_test.go
@@ -75,6 +75,22 @@
 	assert.Equal(t, table.Active(), limit)
 }
 
+// A client that sends the body of its first request keeps its connection while others have sent
+// nothing.
+func TestFirstBodyIsNotIdle(t *testing.T) {
+	table := NewTable(2)
+	var conns []net.Conn
+	for range 3 {
+		c, other := net.Pipe()
+		defer func() { _, _ = c.Close(), other.Close() }()
+		conns = append(conns, c)
+	}
+	table.record(conns[0], fasthttp.StateNew)
+	table.Reading(conns[0])
+	table.record(conns[1], fasthttp.StateNew)
+	assert.Assert(t, table.record(conns[2], fasthttp.StateNew) == conns[1])
+}
+
 // Clients leave their answers unread. Those that have done so for longest lose their connections
 // until the rest is within the limit; an answer that is on its way is left to its client.
 func TestUnreadAnswersAreBounded(t *testing.T) {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -132,6 +132,7 @@
 // handleContained serves one request. A panic fails this request only; whether it has
 // run is then not known.
 func (s *Server) handleContained(ctx *fasthttp.RequestCtx) {
+	defer dropLongHead(ctx)
 	err := duty.Contain(func() { s.handle(ctx) })
 	if err == nil {
 		return
@@ -149,7 +150,7 @@
 		s.handleReadError(ctx, err)
 		return
 	}
-	defer dropLongHead(ctx)
+	s.conns.Reading(ctx.Conn())
 	if rc, ok := ctx.Conn().(*recordingConn); ok {
 		if err := rc.reserveRequest(&ctx.Request.Header); err != nil {
 			s.handleReadError(ctx, err)
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -332,9 +332,9 @@
 	}
 	l := d.cfg.Listen
 	p.caller, p.local, p.ready, p.metrics = open(l.Caller), open(l.Local), open(l.Ready), open(l.Metrics)
-	mesh, err := net.Listen("tcp4", l.Mesh)
+	meshPort, err := net.Listen("tcp4", l.Mesh)
 	errs = append(errs, err)
-	p.mesh = netlimit.NewListener(mesh, d.log)
+	p.mesh = netlimit.NewListener(meshPort, d.log)
 	if err := errors.Join(errs...); err != nil {
 		return nil, fmt.Errorf("sidecar: %w", err)
 	}
