--- a/internal/standin/metastore/store.go
+++ b/internal/standin/metastore/store.go
@@ -28,6 +28,8 @@
 	NoAnswer               // calls are neither executed nor answered
 	RefuseCalls            // calls are answered with status 503
 	LoseAppendAnswer       // appends are executed but not answered
+	EndlessAnswers         // reads are answered with bytes without end
+	EndlessPages           // the newest records are answered with pages without end, reads as truncated
 	DelayAppend            // appends are not answered and are executed after appendDelay, if their condition holds then
 )
 
@@ -160,6 +162,8 @@
 			panic(http.ErrAbortHandler)
 		case RefuseCalls:
 			w.WriteHeader(http.StatusServiceUnavailable)
+		case EndlessAnswers, EndlessPages:
+			s.answerWithoutEnd(w, r, fault, era)
 		default:
 			w.Header().Set("Store-Era", strconv.Itoa(era))
 			next(w, r)
