edge: whether a connection is wide is told between goroutines

The goroutine that closes a surplus connection reads what the one that serves it has set. The flag is atomic, and the count ends once also when both come together. Found by reading; no test showed it.

--- a/internal/edge/conns.go
+++ b/internal/edge/conns.go
@@ -52,7 +52,7 @@
 	answer     held.Answer // that is being written
 	served     bool        // room for a request is reserved
 	headBytes  int         // that is reserved for its head
-	wide       bool        // its kernel buffers have been enlarged
+	wide       atomic.Bool // its kernel buffers are enlarged and counted
 	ended      bool        // a read has met the end of what the caller sends
 	closed     atomic.Bool // Close was called
 }
@@ -88,12 +88,22 @@
 		SetReadBuffer(int) error
 		SetWriteBuffer(int) error
 	})
-	if !ok || c.wide || !c.memory.WidenSocket() {
+	if !ok || c.wide.Load() || !c.memory.WidenSocket() {
 		return
 	}
-	c.wide = true
+	c.wide.Store(true)
 	_ = tcp.SetReadBuffer(heldmem.WideSocketBuffer)  // it may have been closed
 	_ = tcp.SetWriteBuffer(heldmem.WideSocketBuffer) // as above
+	if c.closed.Load() {
+		c.narrow()
+	}
+}
+
+// narrow ends the count of enlarged buffers.
+func (c *recordingConn) narrow() {
+	if c.wide.Swap(false) {
+		c.memory.NarrowSocket()
+	}
 }
 
 // sendingEnded reports whether a read has met the end of what the caller sends. Then a
--- a/internal/edge/write.go
+++ b/internal/edge/write.go
@@ -87,9 +87,7 @@
 func (c *recordingConn) Close() error {
 	if !c.closed.Swap(true) {
 		c.memory.RemoveConnection()
-		if c.wide {
-			c.memory.NarrowSocket()
-		}
+		c.narrow()
 	}
 	return c.Conn.Close()
 }
