--- a/internal/connlimit/drain.go
+++ b/internal/connlimit/drain.go
@@ -22,6 +22,7 @@
 	all    int           // bytes that may wait
 	direct *rate.Limiter // connections closed without a wait
 	added  chan struct{} // wakes Run; capacity 1
+	resets atomic.Int64
 
 	mu      sync.Mutex // guards the fields below
 	waiting []draining // the longest waiting one first
@@ -98,6 +99,7 @@
 	d.bytes += n
 	surplus := d.takeSurplus()
 	d.mu.Unlock()
+	d.resets.Add(int64(len(surplus)))
 	for _, s := range surplus {
 		closeSurplus(s.conn)
 	}
@@ -108,6 +110,10 @@
 	return nil
 }
 
+// Resets returns how many closed connections have been reset because too much of their last answers
+// was unread.
+func (d *Drainer) Resets() int64 { return d.resets.Load() }
+
 // takeSurplus removes the longest waiting connections until the others are within the limit. The
 // caller holds d.mu.
 func (d *Drainer) takeSurplus() []draining {
--- a/internal/connlimit/drain_test.go
+++ b/internal/connlimit/drain_test.go
@@ -50,6 +50,7 @@
 		}
 	}
 	assert.Assert(t, whole >= 3 && whole < conns, "%d answers were read whole", whole)
+	assert.Equal(t, int(d.Resets()), conns-whole)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		d.mu.Lock()
 		defer d.mu.Unlock()
--- a/internal/connlimit/table.go
+++ b/internal/connlimit/table.go
@@ -8,6 +8,7 @@
 	"container/list"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/valyala/fasthttp"
@@ -30,6 +31,8 @@
 	unread  unreadLimits
 	crowded chan struct{} // wakes CutUnread; capacity 1
 
+	surplus, cutUnread atomic.Int64 // connections that were closed, see Closed
+
 	mu      sync.Mutex // guards the fields below
 	conns   map[net.Conn]*entry
 	waiting [serving]*list.List // of net.Conn by stage, the longest waiting one first
@@ -68,6 +71,7 @@
 // SetState is the ConnState hook of the HTTP server.
 func (t *Table) SetState(c net.Conn, s fasthttp.ConnState) {
 	if surplus := t.record(c, s); surplus != nil {
+		t.surplus.Add(1)
 		closeSurplus(surplus) // its reader ends and reports the state
 	}
 }
@@ -206,6 +210,10 @@
 	delete(t.conns, c)
 }
 
+// Closed returns how many connections have been closed because more than the limit were open, and
+// because their clients had left too much unread.
+func (t *Table) Closed() (surplus, unread int64) { return t.surplus.Load(), t.cutUnread.Load() }
+
 // Active returns the number of connections on which a request is being served or an answer
 // written.
 func (t *Table) Active() int {
--- a/internal/connlimit/unread.go
+++ b/internal/connlimit/unread.go
@@ -54,6 +54,7 @@
 		seen = now
 		for _, c := range chooseUnread(unread, t.unread.all) {
 			if t.removeIdle(c) {
+				t.cutUnread.Add(1)
 				closeSurplus(c) // its reader ends and reports the state
 			}
 		}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -111,6 +111,10 @@
 // unread.
 func (s *Server) CutUnread(ctx context.Context) error { return s.conns.CutUnread(ctx) }
 
+// ClosedConnections returns how many connections have been closed because too many were open, and
+// because their callers had left too much unread.
+func (s *Server) ClosedConnections() (surplus, unread int64) { return s.conns.Closed() }
+
 // CloseConnectionsAfterAnswers makes the server close each connection after its next
 // answer, so that callers connect elsewhere.
 func (s *Server) CloseConnectionsAfterAnswers() { s.closeConns.Store(true) }
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -278,6 +278,9 @@
 	d.edge.SetUnreadTime(d.cfg.Resources.UnreadTime)
 	d.hop = hop.NewServer(d.executor, d.memory, d.clock, d.log)
 	d.mesh.SetHandlers(d.peers, d.hop)
+	if err := d.observeConnections(d.telemetry.Meter()); err != nil {
+		return err
+	}
 	return d.buildLinkRoom(hops)
 }
 
--- a/internal/sidecar/smallports.go
+++ b/internal/sidecar/smallports.go
@@ -1,9 +1,13 @@
 package sidecar
 
 import (
+	"context"
+	"fmt"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/burdockfold/burdockfold/internal/connlimit"
 )
@@ -43,3 +47,20 @@
 	connlimit.Apply(s, l.connections)
 	return s
 }
+
+// observeConnections creates the instrument of the connections that were closed for others' sake.
+func (d *Daemon) observeConnections(m metric.Meter) error {
+	_, err := m.Int64ObservableCounter("burdock_connections_closed",
+		metric.WithDescription("connections closed for others' sake, by reason"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			surplus, unread := d.edge.ClosedConnections()
+			o.Observe(surplus, metric.WithAttributes(attribute.String("reason", "limit")))
+			o.Observe(unread, metric.WithAttributes(attribute.String("reason", "unread")))
+			o.Observe(d.drainer.Resets(), metric.WithAttributes(attribute.String("reason", "unread_at_close")))
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("sidecar: metrics: %w", err)
+	}
+	return nil
+}
