sidecar: the messages of the HTTP ports go to the daemon's log

For each connection that ended early on the local, the readiness or the metrics port, the HTTP library wrote a line of its own to standard error, in another form, and would have waited there for a reader.

Cause: the servers of these ports had no logger. Change: they pass their messages to the daemon's log, at the level debug, as the port for callers does.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -356,7 +356,7 @@
 		{p.ready, readyPort, d.adapter.ReadinessHandler(d.isReady)},
 		{p.metrics, metricsPort, fasthttpadaptor.NewFastHTTPHandler(d.telemetry.MetricsHandler())},
 	} {
-		s := served.limits.newServer(d.containHandler(served.handler))
+		s := served.limits.newServer(d.containHandler(served.handler), d.log)
 		p.http = append(p.http, s)
 		start("port "+served.ln.Addr().String(), func(context.Context) error { return s.Serve(served.ln) })
 	}
--- a/internal/sidecar/httpports.go
+++ b/internal/sidecar/httpports.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/zap"
 
 	"github.com/burdockfold/burdockfold/internal/connlimit"
 )
@@ -37,12 +38,23 @@
 	metricsPort = portLimits{connections: 8, bodyBytes: 4 << 10}
 )
 
+// portLog passes the messages of the HTTP library to the daemon's log.
+type portLog struct{ log *zap.Logger }
+
+// Printf implements fasthttp.Logger.
+func (l portLog) Printf(format string, args ...any) {
+	if line := l.log.Check(zap.DebugLevel, "port_connection"); line != nil {
+		line.Write(zap.String("detail", fmt.Sprintf(format, args...)))
+	}
+}
+
 // newServer returns an HTTP server that keeps to the limits.
-func (l portLimits) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
+func (l portLimits) newServer(h fasthttp.RequestHandler, log *zap.Logger) *fasthttp.Server {
 	s := &fasthttp.Server{
 		Handler: h, NoDefaultServerHeader: true, NoDefaultDate: true,
 		ReadBufferSize: portHeadBytes, MaxRequestBodySize: l.bodyBytes, DisablePreParseMultipartForm: true,
 		ReadTimeout: portReadTimeout, WriteTimeout: portWriteTime, IdleTimeout: portIdleTimeout,
+		Logger: portLog{log},
 	}
 	connlimit.Apply(s, l.connections)
 	return s
