keyrange: grants of an instance outlive the heartbeat of another one

Cause: adoptInstance took a heartbeat of a later start for the proof that the former instance has ended. It is a claim: the former may live, and hold its keys until its grants expire.

Change: the grants of the former instance count for isReleased until they expire. A server that really replaces another is granted its keys with the answer to its second heartbeat, as before; only handoffs to other hosts wait, for the rest of a grant at most. A handoff whose write is in flight or unclear is no longer forgotten at an adoption. Heartbeat.Adoption lets the caller say that an earlier instance counts again.

Evidence: TestHeartbeatOfAnotherInstanceReleasesNoKeys, four forms, fails on the code before (handed off within a step). TestRestartedServerIsGrantedItsKeysAtOnce keeps the price at zero.

--- a/internal/core/keyrange/agent.go
+++ b/internal/core/keyrange/agent.go
@@ -71,6 +71,7 @@
 	tableStale    bool          // a write was refused: the table must be read again before the next one
 
 	instance        roster.Instance // the server's current instance; zero before its first heartbeat
+	adoption        uint64          // Heartbeat.Adoption of its heartbeats
 	ready           bool
 	draining        bool
 	evacuated       bool            // the failure domain here is evacuated
@@ -81,6 +82,7 @@
 	released        []ReleasedRange // released by the server; kept for the transfer tokens
 	grantRecords    []grantRecord   // ranges that the current instance may hold
 	grantsEnd       ident.Instant   // no grant sent so far is valid after this instant
+	formerGrantsEnd ident.Instant   // no grant to an instance before the present one is valid after this instant; zero if there was none
 	inherited       inheritedGrants // what is known of the grants of the daemon's previous process
 	mode            GrantMode
 	calls           callState // used in mode GrantByCall
--- a/internal/core/keyrange/faults_test.go
+++ b/internal/core/keyrange/faults_test.go
@@ -13,7 +13,7 @@
 func (sim *simulation) injectFault() {
 	h := rapid.SampledFrom(sim.hosts).Draw(sim.t, "host")
 	until := sim.now.Add(time.Duration(rapid.IntRange(2, 120).Draw(sim.t, "steps")) * stepInterval)
-	switch rapid.IntRange(0, 12).Draw(sim.t, "fault") {
+	switch rapid.IntRange(0, 13).Draw(sim.t, "fault") {
 	case 0:
 		sim.storeDownUntil = until
 	case 1:
@@ -47,6 +47,8 @@
 		sim.storeDownUntil = min(until, sim.now.Add(2*time.Second))
 	case 12:
 		h.evacuatedUntil = until
+	case 13: // another writer sends one heartbeat
+		sim.deliverForeignHeartbeat(h, min(until, sim.now.Add(4*time.Second)))
 	}
 }
 
--- a/internal/core/keyrange/grant.go
+++ b/internal/core/keyrange/grant.go
@@ -24,6 +24,7 @@
 // Heartbeat is a heartbeat of the backend server beside the daemon.
 type Heartbeat struct {
 	Instance roster.Instance
+	Adoption uint64 // number of instances that the daemon had adopted up to this one
 	Sequence int64
 	Draining bool
 	Held     []HeldRange
@@ -45,14 +46,20 @@
 
 // HandleHeartbeat updates the state of the server and returns the grant for the
 // answer. It returns nil if the heartbeat is from an earlier instance or out of
-// order, or if the lease has expired.
+// order, or if the lease has expired. An adoption that is not the last one is earlier; within
+// one, the start of the instance decides.
 func (a *Agent) HandleHeartbeat(b Heartbeat, now ident.Instant) *Grant {
-	if b.Instance != a.instance {
+	switch {
+	case b.Adoption < a.adoption:
+		return nil
+	case b.Adoption > a.adoption:
+		a.adoptInstance(b)
+	case b.Instance != a.instance:
 		if b.Instance.StartedMS < a.instance.StartedMS {
 			return nil
 		}
-		a.adoptInstance(b.Instance)
-	} else if b.Sequence <= a.lastSequence {
+		a.adoptInstance(b)
+	case b.Sequence <= a.lastSequence:
 		return nil
 	}
 	a.serverLost, a.heartbeatAt, a.lastSequence, a.heldRanges = false, now, b.Sequence, b.Held
@@ -66,13 +73,20 @@
 	return a.buildGrant(b.Sequence, now)
 }
 
-// adoptInstance switches to a new instance of the server, which holds nothing. The
-// previous instance has ended, and its grants with it. Calls name no start time, so
-// that one sent before the first heartbeat of an instance that restarted under its id
-// may have reached that instance: such grants count until they expire.
-func (a *Agent) adoptInstance(l roster.Instance) {
-	a.instance, a.lastSequence = l, 0
-	a.grantRecords, a.released, a.heldRanges, a.handoffs = nil, nil, nil, nil
+// adoptInstance switches to the instance of a heartbeat, which is taken to hold nothing by an
+// answer of this agent. The heartbeat does not prove that the previous instance has ended, so
+// that its grants count until they expire; the adopted one receives its own at once. Calls name
+// no start time, so that one sent before the first heartbeat of an instance that restarted
+// under its id may have reached that instance: such grants count until they expire.
+func (a *Agent) adoptInstance(b Heartbeat) {
+	if a.instance != (roster.Instance{}) {
+		a.formerGrantsEnd = a.grantsEnd
+	}
+	a.instance, a.adoption, a.lastSequence = b.Instance, b.Adoption, 0
+	a.grantRecords, a.released, a.heldRanges = nil, nil, nil
+	if !a.writeInFlight && !a.writeUnclear {
+		a.handoffs = nil // else they may have been written, to receivers that hold their keys
+	}
 	a.inherited.reported = nil
 	a.calls.releases, a.calls.fenced, a.calls.retryAt = nil, nil, 0
 	for i := range a.calls.grants {
@@ -146,7 +160,8 @@
 // isReleased reports whether the server certainly holds no key of a span and will
 // not hold one without another grant. That is so if every grant has expired, or if
 // the server omitted the span from a heartbeat that it sent after the last answer
-// that granted a key of it. An answer of the daemon's previous process counts too.
+// that granted a key of it. An answer of the daemon's previous process counts too, and so does
+// one to an instance that was adopted before the present one.
 func (a *Agent) isReleased(s Span, now ident.Instant) bool {
 	if now > a.grantsEnd {
 		return true
@@ -154,7 +169,7 @@
 	if a.mode == GrantByCall {
 		return a.isReleasedByCall(s, now)
 	}
-	if !a.inherited.precede(s, a.table, now) {
+	if now <= a.formerGrantsEnd || !a.inherited.precede(s, a.table, now) {
 		return false
 	}
 	for _, h := range a.heldRanges {
--- a/internal/core/keyrange/heartbeatworld_test.go
+++ b/internal/core/keyrange/heartbeatworld_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/roster"
 )
 
 // lateHeartbeat is a heartbeat that is held up on its way. The server does not wait for its
@@ -26,7 +27,11 @@
 		h.lateHeartbeats = append(h.lateHeartbeats, lateHeartbeat{b, due})
 		b = sim.nextHeartbeat(h)
 	}
+	if sim.now < h.replacedUntil {
+		return
+	}
 	sent := sim.now
+	b.Adoption = h.adoption
 	g := h.agent.HandleHeartbeat(b, sim.now)
 	if !sim.faultless && rapid.IntRange(0, 19).Draw(sim.t, "answer lost") == 0 {
 		return
@@ -58,11 +63,30 @@
 			kept = append(kept, l)
 			continue
 		}
-		h.agent.HandleHeartbeat(l.Heartbeat, sim.now)
+		if sim.now >= h.replacedUntil {
+			l.Adoption = h.adoption
+			h.agent.HandleHeartbeat(l.Heartbeat, sim.now)
+		}
 	}
 	h.lateHeartbeats = kept
 }
 
+// deliverForeignHeartbeat delivers one heartbeat of an instance that does not exist and
+// started after the server. The daemon takes it for the server's successor until an instant,
+// from which on it believes the server's heartbeats again.
+func (sim *simulation) deliverForeignHeartbeat(h *host, until ident.Instant) {
+	if !h.isRunning(sim.now) {
+		return
+	}
+	h.adoption++
+	h.agent.HandleHeartbeat(Heartbeat{
+		Instance: roster.Instance{ID: "foreign", StartedMS: h.instance.StartedMS + 1}, Adoption: h.adoption,
+		Sequence: 1, Draining: rapid.Bool().Draw(sim.t, "foreign drains"),
+	}, sim.now)
+	h.adoption++
+	h.replacedUntil = until
+}
+
 // applyGrant does what a server does with a grant: it holds the granted rows and
 // releases the others.
 func (sim *simulation) applyGrant(h *host, g *Grant, sent ident.Instant) {
--- a/internal/core/keyrange/inherited_test.go
+++ b/internal/core/keyrange/inherited_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/roster"
 )
 
 // restarted returns an agent of a daemon that has just started again beside a server that
@@ -89,3 +90,71 @@
 	handedOff := tickUntilWritten(t, agent, cs, "server_leaves", start, start.Add(time.Minute))
 	assert.Assert(t, handedOff > start.Add(testConfig().MaxHold))
 }
+
+// One heartbeat of another writer ended the grants of a live server in the books: its keys went
+// to another host while it held them.
+func TestHeartbeatOfAnotherInstanceReleasesNoKeys(t *testing.T) {
+	for name, foreign := range map[string]Heartbeat{
+		"drains":              {Instance: roster.Instance{ID: "x", StartedMS: 9}, Sequence: 1, Draining: true},
+		"under the same id":   {Instance: roster.Instance{ID: "a", StartedMS: 9}, Sequence: 1, Draining: true},
+		"is lost soon":        {Instance: roster.Instance{ID: "x", StartedMS: 9}, Sequence: 1},
+		"of an earlier start": {Instance: roster.Instance{ID: "x"}, Adoption: 1, Sequence: 1, Draining: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := owner("a"), owner("b")
+			now := ident.Instant(time.Hour)
+			agent := NewAgent(testConfig(), a.Member, now)
+			agent.ApplyRead(Table{Rows: []Row{{Span: Span{0, MaxKey}, Owner: a, Fence: 1}}}, 1, now, now)
+			now = now.Add(time.Minute) // nothing inherited counts
+			agent.ApplyUnchangedRead(1, now, now)
+			g := agent.HandleHeartbeat(Heartbeat{Instance: a.Instance, Sequence: 1}, now)
+			assert.Equal(t, len(g.Rows), 1)
+			granted := now
+			now = now.Add(100 * time.Millisecond)
+			agent.HandleHeartbeat(foreign, now)
+			if !foreign.Draining {
+				agent.ServerLost()
+			}
+			handedOff := tickUntilWritten(t, agent, []Candidate{candidate(a), candidate(b)}, "server_leaves", now, now.Add(time.Minute))
+			assert.Assert(t, handedOff > granted.Add(g.Hold), "handed off %s after the grant of %s", handedOff.Sub(granted), g.Hold)
+		})
+	}
+}
+
+// A server that restarts is granted its keys in the answer to its second heartbeat, as it was
+// before the grants of the former instance counted on: they delay handoffs only.
+func TestRestartedServerIsGrantedItsKeysAtOnce(t *testing.T) {
+	for _, id := range []string{"a", "a2"} {
+		a := owner("a")
+		now := ident.Instant(time.Hour)
+		agent := NewAgent(testConfig(), a.Member, now)
+		agent.ApplyRead(Table{Rows: []Row{{Span: Span{0, MaxKey}, Owner: a, Fence: 1}}}, 1, now, now)
+		agent.HandleHeartbeat(Heartbeat{Instance: a.Instance, Sequence: 1}, now)
+		successor := roster.Instance{ID: id, StartedMS: 2}
+		agent.HandleHeartbeat(Heartbeat{Instance: successor, Sequence: 1}, now)
+		tickUntilWritten(t, agent, []Candidate{candidate(Owner{a.Member, successor})}, "claim", now, now)
+		g := agent.HandleHeartbeat(Heartbeat{Instance: successor, Sequence: 2}, now)
+		assert.Assert(t, g != nil && len(g.Rows) == 1 && g.Rows[0].Fence > 1)
+	}
+}
+
+// A server drained and was taken for another one while the outcome of the write that handed its
+// keys off was unclear. When its heartbeats counted again, it was granted the keys that the
+// write had given to another host. Found by TestNoTwoServersHoldAKey.
+func TestUnclearHandoffOutlivesAnAdoption(t *testing.T) {
+	a, b := owner("a"), owner("b")
+	now := ident.Instant(time.Hour)
+	agent := NewAgent(testConfig(), a.Member, now)
+	agent.ApplyRead(Table{Rows: []Row{{Span: Span{0, MaxKey}, Owner: a, Fence: 1}}}, 1, now, now)
+	agent.HandleHeartbeat(Heartbeat{Instance: a.Instance, Sequence: 1, Draining: true}, now)
+	var w *Write
+	for w == nil {
+		now = now.Add(stepInterval)
+		w = agent.Tick(now, []Candidate{candidate(a), candidate(b)})
+	}
+	agent.HandleHeartbeat(Heartbeat{Instance: roster.Instance{ID: "x", StartedMS: 9}, Adoption: 1, Sequence: 1}, now)
+	agent.ApplyOutcome(*w, Unclear, now, now)
+	agent.ApplyUnchangedRead(1, now, now)
+	g := agent.HandleHeartbeat(Heartbeat{Instance: a.Instance, Adoption: 2, Sequence: 2}, now)
+	assert.Assert(t, g != nil && len(g.Rows) == 0, "%+v", g)
+}
--- a/internal/core/keyrange/world_test.go
+++ b/internal/core/keyrange/world_test.go
@@ -132,6 +132,8 @@
 	draining              bool
 	evacuatedUntil        ident.Instant
 	heartbeatsLostUntil   ident.Instant
+	adoption              uint64        // instances that the daemon has adopted beside others than the server's own
+	replacedUntil         ident.Instant // the daemon takes another instance for the server
 	holdings              []holding
 	released              []ReleasedRange
 	pendingReads          []pendingRead
