sidecar: a heartbeat of a service that is not configured names no server

Cause: such a heartbeat was refused only while a live server was known. A daemon without one, or whose server was silent or refused connections, adopted it, also with the configuration in force (in the trace config_in_force comes 10 ms before server_state of the other writer's service); and before the first configuration every service counted as configured.

Change: a new instance is adopted only if its service is configured. Before the first configuration only the service of the settings counts, so that a daemon whose store is away serves its real server. A server that is in use stays so if its service leaves the configuration.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -40,6 +40,8 @@
 	onChange func(t *routes.Table, source string) // called after a new table is in force
 	log      *zap.Logger
 
+	localService func() ident.Service // of the backend server on this host, according to the settings
+
 	evacuations *evacuations // the operators' other orders in the same stream
 
 	table atomic.Pointer[routes.Table]
@@ -57,11 +59,12 @@
 // Routes returns the routing table in force, nil before the first configuration.
 func (c *configFollower) Routes() *routes.Table { return c.table.Load() }
 
-// isConfigured reports whether the configuration in force has a service, or none is known yet.
+// isConfigured reports whether the configuration in force has a service. Before the first one,
+// only the service of the settings counts.
 func (c *configFollower) isConfigured(s ident.Service) bool {
 	t := c.Routes()
 	if t == nil {
-		return true
+		return s == c.localService()
 	}
 	_, ok := t.Services[s]
 	return ok
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -131,7 +131,8 @@
 	d.configs = &configFollower{
 		evacuations: d.evacuations,
 		store:       d.adapter.Log, decode: adapter.DecodeConfig, log: log,
-		pollTime: func() time.Duration { return d.peers.configPollTime() },
+		localService: func() ident.Service { return *d.service.Load() },
+		pollTime:     func() time.Duration { return d.peers.configPollTime() },
 		onChange: func(t *routes.Table, source string) {
 			d.ownership.addAgents(shardedServices(t))
 			d.server.handleConfig()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -42,7 +42,7 @@
 	onChange  func() // called after a change that other daemons must learn of
 
 	coldBound     func(ident.Service) admission.ColdBound         // what a cold server of a service tolerates
-	isConfigured  func(ident.Service) bool                        // reports whether a service may exist, by the configuration in force
+	isConfigured  func(ident.Service) bool                        // reports whether a service exists, by the configuration in force or the settings
 	saveDeparture func(roster.Departure) (stored <-chan struct{}) // lets the next process of the daemon know a departure
 
 	drainTime time.Duration // how long a leaving server may still get requests
@@ -100,14 +100,14 @@
 	now := s.clock.Now()
 	same := hb.Instance == s.instance
 	switch {
+	case !same && !configured:
+		return false, "of a service that is not configured"
 	case !same && hb.Instance.StartedMS < s.instance.StartedMS:
 		return false, "of an earlier instance"
 	case same && hb.Sequence <= s.sequence:
 		return false, "out of order"
 	case same && float64(hb.Sequence-s.sequence) > sequenceSlack+maxHeartbeatsPerSec*now.Sub(s.lastHeartbeat).Seconds():
 		return false, "sequence too far ahead"
-	case !same && !configured && s.instance.ID != "" && !s.lost:
-		return false, "of a service that is not configured"
 	}
 	wasLeaving := s.isLeaving()
 	if s.departed.Expired(now) {
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -67,6 +67,47 @@
 	}
 }
 
+// One heartbeat of a service that is not configured took the place of the real server for good,
+// when no server was known, when the known one was lost, or while no configuration was known.
+func TestHeartbeatOfUnconfiguredServiceNamesNoServer(t *testing.T) {
+	foreign := newHeartbeat(9, 1)
+	foreign.Instance.ID, foreign.Service = "x", "other"
+	for name, before := range map[string]func(*server, *manualClock){
+		"no server is known": func(*server, *manualClock) {},
+		"the server is silent": func(s *server, clock *manualClock) {
+			s.HandleHeartbeat(newHeartbeat(1, 1))
+			clock.now = clock.now.Add(time.Minute)
+			s.checkSilence()
+		},
+		"the server refuses connections": func(s *server, _ *manualClock) {
+			s.HandleHeartbeat(newHeartbeat(1, 1))
+			s.handleConnectionRefused()
+		},
+		"the server lives": func(s *server, _ *manualClock) { s.HandleHeartbeat(newHeartbeat(1, 1)) },
+	} {
+		clock := &manualClock{now: ident.Instant(time.Hour)}
+		s := newTestServer(clock)
+		before(s, clock)
+		s.HandleHeartbeat(foreign)
+		assert.Check(t, s.rosterEntry().Service != "other", name)
+		s.HandleHeartbeat(newHeartbeat(1, 2))
+		_, _, ok := s.target("s")
+		assert.Check(t, ok, "%s: the real server is not in use", name)
+	}
+}
+
+// Before a daemon knows a configuration, its server is one of the service of its settings. Every
+// service counted as configured, so that another writer's server took its place.
+func TestServiceOfTheSettingsCountsWithoutAConfiguration(t *testing.T) {
+	service := ident.Service("s")
+	c := &configFollower{localService: func() ident.Service { return service }}
+	assert.Assert(t, c.isConfigured("s"))
+	assert.Assert(t, !c.isConfigured("other"))
+	c.table.Store(routes.NewTable(routes.Config{Version: 1, Services: map[ident.Service]routes.Service{"other": {Name: "other"}}}))
+	assert.Assert(t, c.isConfigured("other"), "an address may go to a server of another service")
+	assert.Assert(t, !c.isConfigured("s"))
+}
+
 // A server that could not reach its daemon for long counts on meanwhile.
 func TestHeartbeatAfterALongPauseIsAccepted(t *testing.T) {
 	clock := &manualClock{now: ident.Instant(time.Hour)}
--- a/internal/standin/shardserver/late.go
+++ b/internal/standin/shardserver/late.go
@@ -13,7 +13,7 @@
 	body := s.nextHeartbeat()
 	return func() error {
 		var ignored any
-		return s.putHeartbeat(body, &ignored)
+		return s.putHeartbeat(s.cfg.ID, body, &ignored)
 	}
 }
 
@@ -21,15 +21,26 @@
 // that the server drains, and lacks the lists of keys. ahead is by how much its sequence is
 // greater than the server's last.
 func (s *Server) SendWithoutLists(ahead int) error {
+	s.mu.Lock()
+	sequence := s.sequence + ahead
+	s.mu.Unlock()
+	return s.SendForeign(s.cfg.ID, map[string]any{"sequence": sequence, "state": "draining", "holds": nil, "freed": nil})
+}
+
+// SendForeign sends a heartbeat under an id that another writer made: it is the server's next
+// one with some fields replaced. A nil value leaves a field out.
+func (s *Server) SendForeign(id string, changes map[string]any) error {
 	s.mu.Lock()
 	body := s.nextHeartbeat()
 	s.sequence--
-	body["sequence"], body["state"] = s.sequence+ahead, "draining"
-	delete(body, "holds")
-	delete(body, "freed")
 	s.mu.Unlock()
+	for field, value := range changes {
+		if body[field] = value; value == nil {
+			delete(body, field)
+		}
+	}
 	var ignored any
-	return s.putHeartbeat(body, &ignored)
+	return s.putHeartbeat(id, body, &ignored)
 }
 
 // Leave announces that the server will stop, and ends its heartbeats. The server serves on.
--- a/internal/standin/shardserver/server.go
+++ b/internal/standin/shardserver/server.go
@@ -127,6 +127,9 @@
 // StopHeartbeats stops the heartbeats. The server still accepts requests.
 func (s *Server) StopHeartbeats() { s.update(func() { s.silent = true }) }
 
+// ResumeHeartbeats undoes StopHeartbeats.
+func (s *Server) ResumeHeartbeats() { s.update(func() { s.silent = false }) }
+
 // update calls f with s.mu locked.
 func (s *Server) update(f func()) {
 	s.mu.Lock()
@@ -191,7 +194,7 @@
 		Holds  *[][4]any `json:"holds"`
 		HoldMS int64     `json:"hold_ms"`
 	}
-	if err := s.putHeartbeat(body, &answer); err != nil || answer.Holds == nil || s.cfg.GrantByCall {
+	if err := s.putHeartbeat(s.cfg.ID, body, &answer); err != nil || answer.Holds == nil || s.cfg.GrantByCall {
 		return false
 	}
 	return s.applyGrant(*answer.Holds, sent.Add(time.Duration(answer.HoldMS)*time.Millisecond))
@@ -211,13 +214,13 @@
 	return body
 }
 
-// putHeartbeat sends a heartbeat to the daemon and decodes the answer.
-func (s *Server) putHeartbeat(body, answer any) error {
+// putHeartbeat sends a heartbeat under an id to the daemon and decodes the answer.
+func (s *Server) putHeartbeat(id string, body, answer any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+s.cfg.ControlAddr+"/burdockfold/instances/"+s.cfg.ID, bytes.NewReader(data))
+	req, err := http.NewRequest(http.MethodPut, "http://"+s.cfg.ControlAddr+"/burdockfold/instances/"+id, bytes.NewReader(data))
 	if err != nil {
 		return err
 	}
