sidecar: a server that was taken for replaced is in use again

Cause: the start and the sequence of the last accepted heartbeat only ever grew. Nothing that a server could send took back what one message had claimed.

Change: internal/core/succession decides which instance is in use. A later start is in use from its first heartbeat on, as before. Any other sender (an earlier start, another service or address under the same id, lower sequences) is in use once the one before it is lost and its own heartbeats go on: at least two, in order, as far apart as heartbeats are. One late heartbeat, or several that come together, bring nothing back. Each adoption has a number, by which the agents tell the heartbeats of an instance that is in use again from late ones.

--- a/internal/sidecar/coldserver.go
+++ b/internal/sidecar/coldserver.go
@@ -92,7 +92,7 @@
 func (s *server) holdCold() {
 	s.mu.Lock()
 	s.heldAt, s.heldHeartbeat = s.clock.Now(), false
-	s.boundCold(s.service)
+	s.boundCold(s.inUse().Service)
 	s.mu.Unlock()
 	s.onChange()
 }
@@ -101,7 +101,7 @@
 func (s *server) handleConfig() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.boundCold(s.service)
+	s.boundCold(s.inUse().Service)
 }
 
 // logCold logs that the server has become cold, if its service bounds what it gets.
--- a/internal/sidecar/ownership.go
+++ b/internal/sidecar/ownership.go
@@ -134,8 +134,8 @@
 
 // handleHeartbeat passes a heartbeat of the server beside the daemon to the agent of its
 // service and returns the grant, nil if nothing is renewed. If the server ran another
-// service before, the agent of that service drops its keys.
-func (o *ownership) handleHeartbeat(hb Heartbeat) *keyrange.Grant {
+// service before, the agent of that service drops its keys. adoption numbers the instance.
+func (o *ownership) handleHeartbeat(hb Heartbeat, adoption uint64) *keyrange.Grant {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.localService = hb.Service
@@ -149,7 +149,7 @@
 	if a == nil {
 		return nil
 	}
-	g := a.HandleHeartbeat(keyrange.Heartbeat{Instance: hb.Instance, Sequence: hb.Sequence, Draining: hb.Draining, Held: hb.Held, Released: hb.Released}, now)
+	g := a.HandleHeartbeat(keyrange.Heartbeat{Instance: hb.Instance, Adoption: adoption, Sequence: hb.Sequence, Draining: hb.Draining, Held: hb.Held, Released: hb.Released}, now)
 	o.requestCalls()
 	if a.GrantMode() == keyrange.GrantByCall {
 		return nil
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,6 +12,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/core/keyrange"
 	"github.com/burdockfold/burdockfold/internal/core/roster"
+	"github.com/burdockfold/burdockfold/internal/core/succession"
 	"github.com/burdockfold/burdockfold/internal/origin"
 )
 
@@ -21,13 +22,6 @@
 // heartbeatInterval is the usual time between two heartbeats of a server.
 const heartbeatInterval = 870 * time.Millisecond
 
-// Limits of how far the sequence of an instance may be ahead of its last heartbeat here. A
-// greater one is not of this server, and would make all its later heartbeats stale.
-const (
-	sequenceSlack       = 100
-	maxHeartbeatsPerSec = 20
-)
-
 // drainMargin is subtracted from the time in which a leaving server may get requests, to
 // cover the transmission of a request to the server.
 const drainMargin = 500 * time.Millisecond
@@ -48,73 +42,72 @@
 	drainTime time.Duration // how long a leaving server may still get requests
 
 	mu            sync.Mutex // guards the fields below
-	instance      roster.Instance
-	adoptedAt     ident.Instant // when the first heartbeat of instance arrived
-	service       ident.Service
-	addr          string
+	instances     *succession.Tracker
+	adoptedAt     ident.Instant // when the first heartbeat of the instance in use arrived
 	slots         int
-	sequence      int64            // of the last heartbeat
 	departed      roster.Departure // the last one, also if its instance has sent no heartbeat yet
-	lost          bool             // silent or refused a connection since its last heartbeat
 	coldUntil     ident.Instant    // the server is slow until then; zero if it never was
 	heldAt        ident.Instant    // an evacuation ended then, and no heartbeat sent since has arrived; zero if none
 	heldHeartbeat bool             // one has arrived since heldAt
-	lastHeartbeat ident.Instant
 	statements    advisory.Tracker // what the server states in its answers
 	published     float64          // its limit as the other daemons know it
 }
 
+// newTracker returns a tracker that knows no instance of the server beside the daemon.
+func newTracker() *succession.Tracker {
+	return succession.New(succession.Config{Interval: heartbeatInterval, Silence: maxMissedHeartbeats * heartbeatInterval})
+}
+
 // HandleHeartbeat implements ServerPort.
 func (s *server) HandleHeartbeat(hb Heartbeat) *keyrange.Grant {
-	var changed bool
-	rejected := "without its lists of keys"
-	if hb.ListsKeys || !s.ownership.grantsByHeartbeat(hb.Service) {
-		changed, rejected = s.updateState(&hb, s.isConfigured(hb.Service))
+	if !hb.ListsKeys && s.ownership.grantsByHeartbeat(hb.Service) {
+		s.logRejected(&hb, "without its lists of keys")
+		return nil
 	}
-	if rejected != "" {
-		s.log.Warn("server_heartbeat_rejected", zap.String("server", hb.Instance.ID), zap.String("service", string(hb.Service)),
-			zap.Int64("born", hb.Instance.StartedMS), zap.Int64("sequence", hb.Sequence), zap.String("reason", rejected))
+	changed, adoption, outcome := s.updateState(&hb, s.isConfigured(hb.Service))
+	if !outcome.Accepted() {
+		s.logRejected(&hb, outcome.String())
 		return nil
 	}
 	if changed {
 		s.log.Info("server_state", zap.String("server", hb.Instance.ID), zap.Int64("born", hb.Instance.StartedMS),
-			zap.String("service", string(hb.Service)), zap.Bool("draining", hb.Draining), zap.Int("slots", hb.Slots))
+			zap.String("service", string(hb.Service)), zap.Bool("draining", hb.Draining), zap.Int("slots", hb.Slots), zap.Uint64("adoption", adoption))
 		s.gate.SetSlots(hb.Slots, 0)
 		s.onChange()
 	}
-	grant := s.ownership.handleHeartbeat(hb)
+	grant := s.ownership.handleHeartbeat(hb, adoption)
 	if changed && hb.Draining {
 		s.storeDeparture()
 	}
 	return grant
 }
 
+func (s *server) logRejected(hb *Heartbeat, reason string) {
+	s.log.Warn("server_heartbeat_rejected", zap.String("server", hb.Instance.ID), zap.String("service", string(hb.Service)),
+		zap.Int64("born", hb.Instance.StartedMS), zap.Int64("sequence", hb.Sequence), zap.String("reason", reason))
+}
+
 // updateState updates the state from a heartbeat; configured tells whether its service is. It
-// reports whether other daemons must learn of the new state. If rejected is set, the heartbeat
-// has no effect: it is from an earlier instance, out of order, or from another writer. A
-// heartbeat that was sent before its instance announced its end becomes one of a draining
-// server.
-func (s *server) updateState(hb *Heartbeat, configured bool) (changed bool, rejected string) {
+// reports whether other daemons must learn of the new state, and the number of the instance in
+// use. A heartbeat that is not accepted has no effect. One that was sent before its instance
+// announced its end becomes one of a draining server.
+func (s *server) updateState(hb *Heartbeat, configured bool) (changed bool, adoption uint64, outcome succession.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	same := hb.Instance == s.instance
-	switch {
-	case !same && !configured:
-		return false, "of a service that is not configured"
-	case !same && hb.Instance.StartedMS < s.instance.StartedMS:
-		return false, "of an earlier instance"
-	case same && hb.Sequence <= s.sequence:
-		return false, "out of order"
-	case same && float64(hb.Sequence-s.sequence) > sequenceSlack+maxHeartbeatsPerSec*now.Sub(s.lastHeartbeat).Seconds():
-		return false, "sequence too far ahead"
+	wasLeaving, wasLost := s.isLeaving(), s.instances.Lost()
+	outcome = s.instances.HandleHeartbeat(succession.Heartbeat{
+		Identity: succession.Identity{Instance: hb.Instance, Service: hb.Service, Addr: hb.Addr}, Sequence: hb.Sequence, Configured: configured,
+	}, now)
+	if !outcome.Accepted() {
+		return false, 0, outcome
 	}
-	wasLeaving := s.isLeaving()
+	same := outcome == succession.Continued
 	if s.departed.Expired(now) {
 		s.departed = roster.Departure{}
 	}
 	hb.Draining = hb.Draining || s.departed.Covers(hb.Instance) // an acknowledged leave cannot be undone
-	changed = !same || s.lost || wasLeaving != hb.Draining || s.slots != hb.Slots || s.service != hb.Service
+	changed = !same || wasLost || wasLeaving != hb.Draining || s.slots != hb.Slots
 	changed = s.updateCold(hb, same) || changed
 	if hb.Draining {
 		since := now
@@ -129,9 +122,15 @@
 		s.gate.SetLimit(s.statements.Limit())
 		s.published = s.statements.Limit()
 	}
-	s.instance, s.service, s.addr, s.slots, s.sequence = hb.Instance, hb.Service, hb.Addr, hb.Slots, hb.Sequence
-	s.lost, s.lastHeartbeat = false, now
-	return changed, ""
+	s.slots = hb.Slots
+	return changed, s.instances.Adoptions(), outcome
+}
+
+// inUse returns the identity of the instance in use, zero if there is none. The caller holds
+// s.mu.
+func (s *server) inUse() succession.Identity {
+	i, _ := s.instances.Current()
+	return i
 }
 
 // HandleLeave implements ServerPort. From now on the server gets no requests, except for
@@ -139,17 +138,17 @@
 func (s *server) HandleLeave(id string) {
 	now := s.clock.Now()
 	s.mu.Lock()
-	d := roster.Departure{Instance: s.instance, Since: now}
-	known := s.instance.ID == id
+	inUse := s.inUse()
+	d := roster.Departure{Instance: inUse.Instance, Since: now}
+	known := inUse.Instance.ID == id
 	if !known { // its heartbeats went to the previous process of the daemon
 		d = roster.Departure{Instance: roster.Instance{ID: id, StartedMS: time.Now().UnixMilli()}, AnyStart: true, Since: now}
 	}
 	leaves := s.markLeaving(d)
-	service := s.service
 	s.mu.Unlock()
 	s.log.Info("server_leaves", zap.String("server", id), zap.Bool("known", known))
 	if leaves {
-		s.ownership.handleServerLost(service)
+		s.ownership.handleServerLost(inUse.Service)
 		s.onChange()
 	}
 	s.storeDeparture()
@@ -178,34 +177,27 @@
 // checkSilence marks the server as lost if it has sent no heartbeat for longer than
 // maxMissedHeartbeats intervals.
 func (s *server) checkSilence() {
-	s.mu.Lock()
-	silent := s.instance.ID != "" && !s.lost && s.clock.Now().Sub(s.lastHeartbeat) > maxMissedHeartbeats*heartbeatInterval
-	if silent {
-		s.lost = true
-	}
-	instance, service := s.instance, s.service
-	s.mu.Unlock()
-	if !silent {
-		return
-	}
-	s.log.Warn("server_lost", zap.String("server", instance.ID), zap.String("service", string(service)))
-	s.ownership.handleServerLost(service)
-	s.onChange()
+	s.handleLoss("server_lost", func() bool { return s.instances.CheckSilence(s.clock.Now()) })
 }
 
 // handleConnectionRefused marks the server as lost because it refused a connection, until
 // its next heartbeat.
 func (s *server) handleConnectionRefused() {
+	s.handleLoss("server_refuses", s.instances.MarkLost)
+}
+
+// handleLoss calls mark with s.mu locked, and logs and tells the ownership and the other daemons
+// that the server is lost if mark reports that this is new.
+func (s *server) handleLoss(event string, mark func() bool) {
 	s.mu.Lock()
-	first := !s.lost && s.instance.ID != ""
-	s.lost = s.lost || first
-	instance, service := s.instance, s.service
+	lost, inUse := mark(), s.inUse()
 	s.mu.Unlock()
-	if first {
-		s.log.Warn("server_refuses", zap.String("server", instance.ID), zap.String("service", string(service)))
-		s.ownership.handleServerLost(service)
-		s.onChange()
+	if !lost {
+		return
 	}
+	s.log.Warn(event, zap.String("server", inUse.Instance.ID), zap.String("service", string(inUse.Service)))
+	s.ownership.handleServerLost(inUse.Service)
+	s.onChange()
 }
 
 // target returns the server for requests of a service. ok is false if no live server here
@@ -214,23 +206,24 @@
 func (s *server) target(service ident.Service) (t origin.Server, leaving, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.instance.ID == "" || s.service != service {
+	inUse := s.inUse()
+	if inUse.Instance.ID == "" || inUse.Service != service {
 		return t, false, false
 	}
 	leaving = s.isLeaving()
 	over := leaving && s.clock.Now().Sub(s.departed.Since) > s.drainTime-drainMargin
-	return origin.Server{Addr: s.addr, ID: s.instance.ID}, leaving, !s.lost && !over
+	return origin.Server{Addr: inUse.Addr, ID: inUse.Instance.ID}, leaving, !s.instances.Lost() && !over
 }
 
 // isLeaving reports whether the server has announced its end. The caller holds s.mu.
-func (s *server) isLeaving() bool { return s.departed.Covers(s.instance) }
+func (s *server) isLeaving() bool { return s.departed.Covers(s.inUse().Instance) }
 
 // current returns the instance of the server, whether it has said that it will stop, and
 // whether it has been lost since its last heartbeat.
 func (s *server) current() (i roster.Instance, leaving, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.instance, s.isLeaving(), s.lost
+	return s.inUse().Instance, s.isLeaving(), s.instances.Lost()
 }
 
 // address returns the address and id of the server if it runs a service, whether it
@@ -238,16 +231,18 @@
 func (s *server) address(service ident.Service) (t origin.Server, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return origin.Server{Addr: s.addr, ID: s.instance.ID}, s.instance.ID != "" && s.service == service
+	inUse := s.inUse()
+	return origin.Server{Addr: inUse.Addr, ID: inUse.Instance.ID}, inUse.Instance.ID != "" && inUse.Service == service
 }
 
 // rosterEntry returns the state of the server as published to the other daemons.
 func (s *server) rosterEntry() roster.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := roster.Server{Instance: s.instance, Service: s.service, Slots: s.slots, Limit: s.published}
+	inUse := s.inUse()
+	e := roster.Server{Instance: inUse.Instance, Service: inUse.Service, Slots: s.slots, Limit: s.published}
 	switch {
-	case s.instance.ID == "" || s.lost:
+	case inUse.Instance.ID == "" || s.instances.Lost():
 	case s.isLeaving():
 		e.State = roster.Draining
 	default:
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -25,7 +25,7 @@
 
 func newTestServer(clock *manualClock) *server {
 	return &server{
-		clock: clock, log: zap.NewNop(), onChange: func() {}, isConfigured: func(s ident.Service) bool { return s != "other" }, drainTime: 2500 * time.Millisecond,
+		clock: clock, log: zap.NewNop(), instances: newTracker(), onChange: func() {}, isConfigured: func(s ident.Service) bool { return s != "other" }, drainTime: 2500 * time.Millisecond,
 		saveDeparture: func(roster.Departure) <-chan struct{} { stored := make(chan struct{}); close(stored); return stored },
 		coldBound:     func(ident.Service) admission.ColdBound { return admission.ColdBound{} },
 		gate:          admitting.NewGate(admission.DefaultConfig(1), clock),
@@ -96,6 +96,66 @@
 	}
 }
 
+// One complete heartbeat of another writer shut the real server out for good: its own ones
+// counted as those of an earlier instance, or as out of order.
+func TestServerIsInUseAgainAfterForeignHeartbeat(t *testing.T) {
+	for name, foreign := range map[string]Heartbeat{
+		"a later start":                      {Instance: roster.Instance{ID: "x", StartedMS: 9}, Service: "s", Sequence: 1},
+		"a later start, draining":            {Instance: roster.Instance{ID: "x", StartedMS: 9}, Service: "s", Sequence: 1, Draining: true},
+		"a later start under its id":         {Instance: roster.Instance{ID: "i", StartedMS: 9}, Service: "s", Sequence: 1},
+		"its start and id, another service":  {Instance: roster.Instance{ID: "i", StartedMS: 5}, Service: "u", Sequence: 90},
+		"its start and id, a later sequence": {Instance: roster.Instance{ID: "i", StartedMS: 5}, Service: "s", Sequence: 90},
+	} {
+		for _, first := range []bool{false, true} { // the foreign heartbeat comes before the server's first one
+			clock := &manualClock{now: ident.Instant(time.Hour)}
+			s := newTestServer(clock)
+			foreign.Addr, foreign.Slots, foreign.ListsKeys = "b:1", 7, true
+			if first {
+				s.HandleHeartbeat(foreign)
+			}
+			at := clock.now
+			for i := int64(1); i < 30; i++ {
+				s.HandleHeartbeat(newHeartbeat(5, i))
+				clock.now = clock.now.Add(heartbeatInterval)
+				s.checkSilence()
+				if i == 3 && !first {
+					s.HandleHeartbeat(foreign)
+					at = clock.now
+				}
+				if clock.now.Sub(at) > 5*heartbeatInterval {
+					to, leaving, ok := s.target("s")
+					assert.Assert(t, ok && !leaving && to.ID == "i" && to.Addr == "a:1", "%s, first %t: %s later", name, first, clock.now.Sub(at))
+				}
+			}
+		}
+	}
+}
+
+// A server that replaces another, under its id or its own, is in use with its first heartbeat,
+// and one whose time of day was set back as soon as the former one is lost.
+func TestReplacementIsInUseAtOnce(t *testing.T) {
+	for _, id := range []string{"i", "new"} {
+		for _, born := range []int64{6, 4} {
+			clock := &manualClock{now: ident.Instant(time.Hour)}
+			s := newTestServer(clock)
+			s.HandleHeartbeat(newHeartbeat(5, 900))
+			clock.now = clock.now.Add(time.Second)
+			hb := newHeartbeat(born, 1)
+			hb.Instance.ID = id
+			s.HandleHeartbeat(hb)
+			if born < 5 {
+				s.handleConnectionRefused() // by the former one
+				clock.now = clock.now.Add(heartbeatInterval)
+				hb.Sequence++
+				s.HandleHeartbeat(hb)
+			}
+			to, leaving, ok := s.target("s")
+			assert.Assert(t, ok && !leaving && to.ID == id, "%s born %d", id, born)
+			assert.Equal(t, s.rosterEntry().Instance, hb.Instance)
+		}
+	}
+}
+
 // Before a daemon knows a configuration, its server is one of the service of its settings. Every
 // service counted as configured, so that another writer's server took its place.
 func TestServiceOfTheSettingsCountsWithoutAConfiguration(t *testing.T) {
@@ -166,7 +226,7 @@
 			s.recordStatement("i", advisory.Statement{Leaving: true}, s.clock.Now())
 		},
 		"peer": func(s *server) {
-			s.recordPeerAdvisory(&advisory.Advisory{Instance: s.instance, Leaving: true, LeavingSince: s.clock.Now()})
+			s.recordPeerAdvisory(&advisory.Advisory{Instance: s.inUse().Instance, Leaving: true, LeavingSince: s.clock.Now()})
 		},
 		"leave": func(s *server) { s.HandleLeave("i") },
 	} {
@@ -176,8 +236,8 @@
 			s.HandleHeartbeat(newHeartbeat(5, 1))
 			leave(s)
 			hb := newHeartbeat(5, 2)
-			_, rejected := s.updateState(&hb, true)
-			assert.Assert(t, rejected == "" && hb.Draining)
+			_, _, outcome := s.updateState(&hb, true)
+			assert.Assert(t, outcome.Accepted() && hb.Draining)
 			_, leaving, _ := s.target("s")
 			assert.Assert(t, leaving)
 		})
@@ -193,7 +253,7 @@
 	s.recordPeerAdvisory(&advisory.Advisory{Instance: roster.Instance{ID: "i", StartedMS: 4}, Leaving: true, LeavingSince: clock.now.Add(-time.Minute)})
 	_, leaving, ok := s.target("s")
 	assert.Assert(t, !leaving && ok)
-	s.recordPeerAdvisory(&advisory.Advisory{Instance: s.instance, Leaving: true, LeavingSince: clock.now.Add(-3 * time.Second)})
+	s.recordPeerAdvisory(&advisory.Advisory{Instance: s.inUse().Instance, Leaving: true, LeavingSince: clock.now.Add(-3 * time.Second)})
 	_, leaving, ok = s.target("s")
 	assert.Assert(t, leaving && !ok)
 }
--- a/internal/sidecar/serveradvisory.go
+++ b/internal/sidecar/serveradvisory.go
@@ -28,12 +28,13 @@
 		s.log.Warn("server_limit_invalid", zap.String("server", id), zap.String("limit", st.InvalidLimit))
 	}
 	s.applyAdvice(sourceAnswer, func() (leaves bool) {
-		if s.instance.ID != id || sent < s.adoptedAt {
+		instance := s.inUse().Instance
+		if instance.ID != id || sent < s.adoptedAt {
 			return false
 		}
 		now := s.clock.Now()
-		s.statements.RecordAnswer(s.instance, st, sent, now)
-		return st.Leaving && s.markLeaving(roster.Departure{Instance: s.instance, Since: now})
+		s.statements.RecordAnswer(instance, st, sent, now)
+		return st.Leaving && s.markLeaving(roster.Departure{Instance: instance, Since: now})
 	})
 }
 
@@ -65,7 +66,7 @@
 		s.gate.SetLimit(limit)
 	}
 	published := s.publishLimit(limit)
-	id, service, departed := s.instance.ID, s.service, s.departed
+	id, service, departed := s.inUse().Instance.ID, s.inUse().Service, s.departed
 	s.mu.Unlock()
 	if limit != before {
 		s.log.Info("server_limit", zap.String("server", id), zap.Float64("per_second", limit), zap.Float64("before", before), zap.String("source", source))
@@ -90,7 +91,7 @@
 	case d.Instance == s.departed.Instance:
 		s.departed.Since = min(s.departed.Since, d.Since)
 		return false
-	case d.Instance != s.instance && (s.isLeaving() || d.Instance.StartedMS < s.departed.Instance.StartedMS):
+	case d.Instance != s.inUse().Instance && (s.isLeaving() || d.Instance.StartedMS < s.departed.Instance.StartedMS):
 		return false // of an earlier instance
 	}
 	s.departed = d
@@ -117,7 +118,7 @@
 	if limit == 0 && !leaving {
 		return nil
 	}
-	return &advisory.Advisory{Instance: s.instance, Limit: limit, Leaving: leaving, LeavingSince: s.departed.Since}
+	return &advisory.Advisory{Instance: s.inUse().Instance, Limit: limit, Leaving: leaving, LeavingSince: s.departed.Since}
 }
 
 // limit returns the limit that the server states, in requests per second; zero if there
