sidecar, roster: a departure outlives that of another instance

Seen in a test, not by callers: a server sends DELETE and gets its confirmation, one heartbeat of another writer names a draining instance in its place, and the server is in use again: it was ready, and got requests long after drain_ms. The same in the rosters of the other daemons and after a restart of the daemon.

Cause: the daemon, the rosters and the record in the store each kept one departure a host, the last one. While an instance could not come back that lost nothing; now it can.

Change: roster.Departures keeps the last four of each host; the record in the store has them all and is still read by, and from, the release before.

Evidence: TestLeaveOutlivesThatOfAnotherInstance (in one process, and in the next one by the record) and TestDepartureOutlivesThatOfAnotherInstance fail with room for one departure, as before.

--- a/internal/core/roster/departure.go
+++ b/internal/core/roster/departure.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
@@ -33,37 +34,67 @@
 	return d.AnyStart && now.Sub(d.Since) > anyStartValidity
 }
 
-// RecordDeparture records that the server on a host leaves.
-func (r *Roster) RecordDeparture(h ident.Host, d Departure) {
-	if known := r.departures[h]; known.Covers(d.Instance) && known.Since <= d.Since {
+// maxDepartures bounds the departures that are known of the servers on one host.
+const maxDepartures = 4
+
+// Departures are the last departures of servers on one host, the latest last. An instance may be
+// heard of again after the departure of another one.
+type Departures []Departure
+
+// Of returns the departure of an instance, the earliest if there are several.
+func (ds Departures) Of(i Instance, now ident.Instant) (found Departure, ok bool) {
+	for _, d := range ds {
+		if d.Covers(i) && !d.Expired(now) && (!ok || d.Since < found.Since) {
+			found, ok = d, true
+		}
+	}
+	return found, ok
+}
+
+// Record adds a departure. One that is known counts from the earlier of both instants on.
+func (ds *Departures) Record(d Departure) {
+	if d.Instance.ID == "" {
 		return
 	}
-	r.departures[h] = d
-	if p := r.peers[h]; p != nil {
-		p.applyDeparture(d)
+	for i, known := range *ds {
+		if known.Instance == d.Instance && known.AnyStart == d.AnyStart {
+			(*ds)[i].Since = min(known.Since, d.Since)
+			return
+		}
+	}
+	*ds = append(*ds, d)
+	if extra := len(*ds) - maxDepartures; extra > 0 {
+		*ds = slices.Clone((*ds)[extra:])
 	}
 }
 
-// Departure returns the last known departure of a server on a host.
-func (r *Roster) Departure(h ident.Host) (d Departure, ok bool) {
-	d, ok = r.departures[h]
-	return d, ok
+// RecordDeparture records that a server on a host leaves.
+func (r *Roster) RecordDeparture(h ident.Host, d Departure) {
+	ds := r.departures[h]
+	ds.Record(d)
+	r.departures[h] = ds
+	if p := r.peers[h]; p != nil && d.Covers(p.Server.Instance) {
+		p.markLeaving()
+	}
 }
 
+// Departures returns the known departures of servers on a host.
+func (r *Roster) Departures(h ident.Host) Departures { return slices.Clone(r.departures[h]) }
+
 // mergeDeparture makes an entry and the known departures agree.
 func (r *Roster) mergeDeparture(p *Peer, now ident.Instant) {
-	if r.departures[p.Member.Host].Expired(now) {
-		delete(r.departures, p.Member.Host)
-	}
+	h := p.Member.Host
 	if p.Server.State == Draining {
-		r.RecordDeparture(p.Member.Host, Departure{Instance: p.Server.Instance, Since: now})
+		r.RecordDeparture(h, Departure{Instance: p.Server.Instance, Since: now})
+	}
+	if _, leaves := r.departures[h].Of(p.Server.Instance, now); leaves {
+		p.markLeaving()
 	}
-	p.applyDeparture(r.departures[p.Member.Host])
 }
 
-// applyDeparture makes the server of an entry a draining one if it is known to leave.
-func (p *Peer) applyDeparture(d Departure) {
-	if p.Server.State == Ready && d.Covers(p.Server.Instance) {
+// markLeaving makes the server of an entry a draining one.
+func (p *Peer) markLeaving() {
+	if p.Server.State == Ready {
 		p.Server.State, p.ReadySince = Draining, 0
 	}
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -89,12 +89,12 @@
 type Roster struct {
 	self       ident.Host
 	peers      map[ident.Host]*Peer
-	departures map[ident.Host]Departure // the last one of each host
+	departures map[ident.Host]Departures
 }
 
 // New returns an empty roster of the daemon on the host self.
 func New(self ident.Host) *Roster {
-	return &Roster{self: self, peers: make(map[ident.Host]*Peer), departures: make(map[ident.Host]Departure)}
+	return &Roster{self: self, peers: make(map[ident.Host]*Peer), departures: make(map[ident.Host]Departures)}
 }
 
 // Merge adds or replaces an entry and reports whether it was new. It ignores an
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -61,7 +61,7 @@
 	p, _ := r.Get("h")
 	assert.Equal(t, p.Server.State, Draining)
 	assert.Equal(t, p.ReadySince, ident.Instant(0))
-	d, ok := r.Departure("h")
+	d, ok := r.Departures("h").Of(Instance{ID: "i", StartedMS: 7}, now)
 	assert.Assert(t, ok && d.Since == now)
 
 	r.Merge(with(entry(2, 2), Ready, 8), now.Add(2*time.Second))
@@ -69,6 +69,29 @@
 	assert.Equal(t, p.Server.State, Ready, "another instance under the same id")
 }
 
+// The departure of another instance on the host, by a heartbeat of another writer, made the
+// daemons forget that of the server: once it was heard of again, it was ready.
+func TestDepartureOutlivesThatOfAnotherInstance(t *testing.T) {
+	now := ident.Instant(time.Hour)
+	e := entry(1, 1)
+	e.Server = Server{Instance: Instance{ID: "i", StartedMS: 7}, State: Draining}
+	r := New("self")
+	r.Merge(e, now)
+	for seq, s := range []Server{{Instance: Instance{ID: "x", StartedMS: 9}, State: Draining}, {Instance: Instance{ID: "i", StartedMS: 7}, State: Ready}} {
+		e.Seq, e.Server = uint64(seq+2), s
+		r.Merge(e, now.Add(time.Second))
+	}
+	p, _ := r.Get("h")
+	assert.Equal(t, p.Server.State, Draining)
+	d, ok := r.Departures("h").Of(p.Server.Instance, now)
+	assert.Assert(t, ok && d.Since == now, "it counts from its first notice on")
+
+	for i := range 2 * maxDepartures {
+		r.RecordDeparture("h", Departure{Instance: Instance{ID: "y", StartedMS: int64(i)}, Since: now})
+	}
+	assert.Equal(t, len(r.Departures("h")), maxDepartures)
+}
+
 // A departure that is found in the store changes an entry that was merged before.
 func TestRecordedDepartureChangesKnownEntry(t *testing.T) {
 	now := ident.Instant(time.Hour)
--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,7 +33,14 @@
 	return ident.Host(name), ok
 }
 
-// storedDeparture is the value of a record. The processes of a host share no other clock
+// storedDepartures is the value of a record: the last departure of a server on the host, and
+// those before it.
+type storedDepartures struct {
+	storedDeparture
+	Earlier []storedDeparture `codec:"e"`
+}
+
+// storedDeparture is one departure in a record. The processes of a host share no other clock
 // than the time of day.
 type storedDeparture struct {
 	Instance roster.Instance `codec:"i"`
@@ -40,7 +48,7 @@
 	SinceMS  int64           `codec:"t"` // Unix time in milliseconds
 }
 
-// departureStore keeps in the store that the server beside this daemon leaves, for the next
+// departureStore keeps in the store which servers beside this daemon leave, for the next
 // process of the daemon.
 type departureStore struct {
 	host  ident.Host
@@ -50,7 +58,7 @@
 	due   chan struct{} // signals that last is not stored; capacity 1
 
 	mu     sync.Mutex // guards the fields below
-	last   roster.Departure
+	last   roster.Departures
 	stored chan struct{} // closed when last is in the store
 }
 
@@ -58,22 +66,24 @@
 	return &departureStore{host: host, store: store, clock: clock, log: log, due: make(chan struct{}, 1)}
 }
 
-// save writes a departure to the store soon. The result is closed when that is done.
-func (s *departureStore) save(d roster.Departure) (stored <-chan struct{}) {
+// save writes departures to the store soon, in the place of those before. The result is closed
+// when that is done.
+func (s *departureStore) save(ds roster.Departures) (stored <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.last.Instance != d.Instance {
-		s.last, s.stored = d, make(chan struct{})
+	same := func(a, b roster.Departure) bool { return a.Instance == b.Instance && a.AnyStart == b.AnyStart }
+	if s.stored == nil || !slices.EqualFunc(s.last, ds, same) {
+		s.last, s.stored = ds, make(chan struct{})
 		s.signal()
 	}
 	return s.stored
 }
 
-// saveAgain writes the last departure again, because the store may have lost it.
+// saveAgain writes the last departures again, because the store may have lost them.
 func (s *departureStore) saveAgain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.last != (roster.Departure{}) {
+	if len(s.last) > 0 {
 		s.signal()
 	}
 }
@@ -100,13 +110,12 @@
 	}
 }
 
-// write writes the last departure, and repeats the call until it has succeeded.
+// write writes the last departures, and repeats the call until it has succeeded.
 func (s *departureStore) write(ctx context.Context, retry *storeRetrier) error {
 	s.mu.Lock()
-	d, stored := s.last, s.stored
+	ds, stored := s.last, s.stored
 	s.mu.Unlock()
-	since := time.Now().Add(-s.clock.Now().Sub(d.Since))
-	value, err := codec.Marshal(storedDeparture{Instance: d.Instance, AnyStart: d.AnyStart, SinceMS: since.UnixMilli()})
+	value, err := encodeDepartures(ds, s.clock.Now())
 	if err != nil {
 		return err
 	}
@@ -126,13 +135,28 @@
 	return nil
 }
 
-// decodeDeparture returns the departure that a record states.
-func decodeDeparture(value []byte, now ident.Instant) (roster.Departure, error) {
-	var v storedDeparture
+// encodeDepartures returns the record of departures, of which there is at least one.
+func encodeDepartures(ds roster.Departures, now ident.Instant) ([]byte, error) {
+	var stored []storedDeparture
+	for _, d := range ds {
+		since := time.Now().Add(-now.Sub(d.Since))
+		stored = append(stored, storedDeparture{Instance: d.Instance, AnyStart: d.AnyStart, SinceMS: since.UnixMilli()})
+	}
+	last := len(stored) - 1
+	return codec.Marshal(storedDepartures{stored[last], stored[:last]})
+}
+
+// decodeDepartures returns the departures that a record states, the latest last.
+func decodeDepartures(value []byte, now ident.Instant) (roster.Departures, error) {
+	var v storedDepartures
 	if err := codec.Unmarshal(value, &v); err != nil {
-		return roster.Departure{}, err
+		return nil, err
+	}
+	var ds roster.Departures
+	for _, d := range append(v.Earlier, v.storedDeparture) {
+		ds.Record(roster.Departure{Instance: d.Instance, AnyStart: d.AnyStart, Since: departedSince(now, time.Since(time.UnixMilli(d.SinceMS)))})
 	}
-	return roster.Departure{Instance: v.Instance, AnyStart: v.AnyStart, Since: departedSince(now, time.Since(time.UnixMilli(v.SinceMS)))}, nil
+	return ds, nil
 }
 
 // departedSince returns the instant of a departure whose age another process states.
@@ -140,15 +164,18 @@
 	return now.Add(-min(max(age, 0), maxDepartureAge))
 }
 
-// sendDepartureNotice tells the daemon on a host that the server beside it leaves, if that
+// sendDepartureNotices tells the daemon on a host which servers beside it leave, as far as that
 // is known.
-func (p *peers) sendDepartureNotice(h ident.Host) {
+func (p *peers) sendDepartureNotices(h ident.Host) {
 	p.mu.Lock()
 	to, known := p.roster.Get(h)
-	d, leaves := p.roster.Departure(h)
-	age := p.clock.Now().Sub(d.Since)
+	ds := p.roster.Departures(h)
 	p.mu.Unlock()
-	if known && leaves && h != p.self.Host {
+	if !known || h == p.self.Host {
+		return
+	}
+	for _, d := range ds {
+		age := p.clock.Now().Sub(d.Since)
 		p.send(to.Entry, typeDeparture, departureNotice{Instance: d.Instance, AnyStart: d.AnyStart, AgeMS: age.Milliseconds()})
 	}
 }
--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -62,24 +62,27 @@
 				t.Fatalf("table of %s: %+v", s, table.Rows)
 			}
 		}
-		checkDeparture(t, server.departed, clock.now)
+		checkDepartures(t, server.departures, clock.now)
 	})
 }
 
-// checkDeparture fails the test if a departure that came from elsewhere is in the future, or
+// checkDepartures fails the test if a departure that came from elsewhere is in the future, or
 // older than any that counts.
-func checkDeparture(t *testing.T, d roster.Departure, now ident.Instant) {
-	if d != (roster.Departure{}) && (d.Since > now || now.Sub(d.Since) > maxDepartureAge) {
-		t.Fatalf("departure since %v, now is %v", d.Since, now)
+func checkDepartures(t *testing.T, ds roster.Departures, now ident.Instant) {
+	for _, d := range ds {
+		if d.Since > now || now.Sub(d.Since) > maxDepartureAge {
+			t.Fatalf("departure since %v, now is %v", d.Since, now)
+		}
 	}
 }
 
 // The stored record of a departure is decoded or skipped, whatever it holds.
 func FuzzStoredDepartures(f *testing.F) {
-	for _, d := range []storedDeparture{
-		{Instance: roster.Instance{ID: "i", StartedMS: 1}, SinceMS: 1_700_000_000_000},
-		{Instance: roster.Instance{ID: "i"}, AnyStart: true, SinceMS: -1 << 63},
-		{SinceMS: 1<<63 - 1},
+	known := storedDeparture{Instance: roster.Instance{ID: "i", StartedMS: 1}, SinceMS: 1_700_000_000_000}
+	for _, d := range []storedDepartures{
+		{known, nil},
+		{storedDeparture{Instance: roster.Instance{ID: "i"}, AnyStart: true, SinceMS: -1 << 63}, []storedDeparture{known}},
+		{storedDeparture{SinceMS: 1<<63 - 1}, nil},
 	} {
 		value, err := codec.Marshal(d)
 		if err != nil {
@@ -92,7 +95,7 @@
 		server := newTestServer(clock)
 		p := &peers{self: ident.Member{Host: "h", Incarnation: 1}, clock: clock, log: zap.NewNop(), server: server, roster: roster.New("h"), foundAt: map[ident.Host]ident.Instant{}}
 		p.applyHostList([]logservice.KeyedEntry{{Key: key, Value: value}})
-		checkDeparture(t, server.departed, clock.now)
+		checkDepartures(t, server.departures, clock.now)
 		server.HandleHeartbeat(newHeartbeat(1, 1))
 	})
 }
--- a/internal/sidecar/hosts.go
+++ b/internal/sidecar/hosts.go
@@ -86,14 +86,14 @@
 }
 
 // applyHostList adds the hosts of the store's list to the roster, and the departures of
-// their servers. One that the previous process of this daemon recorded is in force here.
+// their servers. Those that the previous process of this daemon recorded are in force here.
 func (p *peers) applyHostList(entries []logservice.KeyedEntry) {
 	p.mergeHostList(entries)
 	p.mu.Lock()
-	own, ok := p.roster.Departure(p.self.Host)
+	own := p.roster.Departures(p.self.Host)
 	p.mu.Unlock()
-	if ok {
-		p.server.recordDeparture(own, sourceStore)
+	for _, d := range own {
+		p.server.recordDeparture(d, sourceStore)
 	}
 }
 
@@ -103,12 +103,14 @@
 	now := p.clock.Now()
 	for _, e := range entries {
 		if host, ok := departureHost(e.Key); ok {
-			d, err := decodeDeparture(e.Value, now)
+			ds, err := decodeDepartures(e.Value, now)
 			if err != nil {
 				p.log.Warn("departure_unreadable", zap.String("host", string(host)), zap.Error(err))
 				continue
 			}
-			p.roster.RecordDeparture(host, d)
+			for _, d := range ds {
+				p.roster.RecordDeparture(host, d)
+			}
 			continue
 		}
 		var entry roster.Entry
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -275,7 +275,7 @@
 		p.logPeerState(merged.Entry)
 	}
 	if merged.Server.State == roster.Draining && e.Server.State == roster.Ready {
-		p.sendDepartureNotice(e.Member.Host)
+		p.sendDepartureNotices(e.Member.Host)
 	}
 	if !known || old.Member != e.Member {
 		p.handleConnected(e.Member)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -35,9 +36,9 @@
 	log       *zap.Logger
 	onChange  func() // called after a change that other daemons must learn of
 
-	coldBound     func(ident.Service) admission.ColdBound         // what a cold server of a service tolerates
-	isConfigured  func(ident.Service) bool                        // reports whether a service exists, by the configuration in force or the settings
-	saveDeparture func(roster.Departure) (stored <-chan struct{}) // lets the next process of the daemon know a departure
+	coldBound      func(ident.Service) admission.ColdBound          // what a cold server of a service tolerates
+	isConfigured   func(ident.Service) bool                         // reports whether a service exists, by the configuration in force or the settings
+	saveDepartures func(roster.Departures) (stored <-chan struct{}) // lets the next process of the daemon know them
 
 	drainTime time.Duration // how long a leaving server may still get requests
 
@@ -45,12 +46,12 @@
 	instances     *succession.Tracker
 	adoptedAt     ident.Instant // when the first heartbeat of the instance in use arrived
 	slots         int
-	departed      roster.Departure // the last one, also if its instance has sent no heartbeat yet
-	coldUntil     ident.Instant    // the server is slow until then; zero if it never was
-	heldAt        ident.Instant    // an evacuation ended then, and no heartbeat sent since has arrived; zero if none
-	heldHeartbeat bool             // one has arrived since heldAt
-	statements    advisory.Tracker // what the server states in its answers
-	published     float64          // its limit as the other daemons know it
+	departures    roster.Departures // also of instances that have sent no heartbeat yet, or are no longer in use
+	coldUntil     ident.Instant     // the server is slow until then; zero if it never was
+	heldAt        ident.Instant     // an evacuation ended then, and no heartbeat sent since has arrived; zero if none
+	heldHeartbeat bool              // one has arrived since heldAt
+	statements    advisory.Tracker  // what the server states in its answers
+	published     float64           // its limit as the other daemons know it
 }
 
 // newTracker returns a tracker that knows no instance of the server beside the daemon.
@@ -77,7 +78,7 @@
 	}
 	grant := s.ownership.handleHeartbeat(hb, adoption)
 	if changed && hb.Draining {
-		s.storeDeparture()
+		s.storeDepartures()
 	}
 	return grant
 }
@@ -95,7 +96,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	wasLeaving, wasLost := s.isLeaving(), s.instances.Lost()
+	_, wasLeaving := s.departure()
+	wasLost := s.instances.Lost()
 	outcome = s.instances.HandleHeartbeat(succession.Heartbeat{
 		Identity: succession.Identity{Instance: hb.Instance, Service: hb.Service, Addr: hb.Addr}, Sequence: hb.Sequence, Configured: configured,
 	}, now)
@@ -103,18 +105,16 @@
 		return false, 0, outcome
 	}
 	same := outcome == succession.Continued
-	if s.departed.Expired(now) {
-		s.departed = roster.Departure{}
-	}
-	hb.Draining = hb.Draining || s.departed.Covers(hb.Instance) // an acknowledged leave cannot be undone
+	left, leaves := s.departures.Of(hb.Instance, now)
+	hb.Draining = hb.Draining || leaves // an acknowledged leave cannot be undone
 	changed = !same || wasLost || wasLeaving != hb.Draining || s.slots != hb.Slots
 	changed = s.updateCold(hb, same) || changed
 	if hb.Draining {
-		since := now
-		if s.departed.Covers(hb.Instance) {
-			since = s.departed.Since
+		d := roster.Departure{Instance: hb.Instance, Since: now}
+		if leaves {
+			d.Since = left.Since
 		}
-		s.departed = roster.Departure{Instance: hb.Instance, Since: since}
+		s.departures.Record(d)
 	}
 	if !same {
 		s.adoptedAt = now
@@ -151,21 +151,21 @@
 		s.ownership.handleServerLost(inUse.Service)
 		s.onChange()
 	}
-	s.storeDeparture()
+	s.storeDepartures()
 }
 
-// storeDeparture saves the departure of the server, and waits until it is stored, for
+// storeDepartures saves the departures of the servers here, and waits until they are stored, for
 // departureAckDelay at most: what is acknowledged binds the next process of the daemon too.
-func (s *server) storeDeparture() {
+func (s *server) storeDepartures() {
 	s.mu.Lock()
-	d := s.departed
+	ds, id := slices.Clone(s.departures), s.inUse().Instance.ID
 	s.mu.Unlock()
 	timer := time.NewTimer(departureAckDelay)
 	defer timer.Stop()
 	select {
-	case <-s.saveDeparture(d):
+	case <-s.saveDepartures(ds):
 	case <-timer.C:
-		s.log.Warn("departure_not_stored_yet", zap.String("server", d.Instance.ID))
+		s.log.Warn("departure_not_stored_yet", zap.String("server", id))
 	}
 }
 
@@ -210,20 +210,24 @@
 	if inUse.Instance.ID == "" || inUse.Service != service {
 		return t, false, false
 	}
-	leaving = s.isLeaving()
-	over := leaving && s.clock.Now().Sub(s.departed.Since) > s.drainTime-drainMargin
+	d, leaving := s.departure()
+	over := leaving && s.clock.Now().Sub(d.Since) > s.drainTime-drainMargin
 	return origin.Server{Addr: inUse.Addr, ID: inUse.Instance.ID}, leaving, !s.instances.Lost() && !over
 }
 
-// isLeaving reports whether the server has announced its end. The caller holds s.mu.
-func (s *server) isLeaving() bool { return s.departed.Covers(s.inUse().Instance) }
+// departure returns the departure of the server, if it has announced its end. The caller holds
+// s.mu.
+func (s *server) departure() (d roster.Departure, leaving bool) {
+	return s.departures.Of(s.inUse().Instance, s.clock.Now())
+}
 
 // current returns the instance of the server, whether it has said that it will stop, and
 // whether it has been lost since its last heartbeat.
 func (s *server) current() (i roster.Instance, leaving, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.inUse().Instance, s.isLeaving(), s.instances.Lost()
+	_, leaving = s.departure()
+	return s.inUse().Instance, leaving, s.instances.Lost()
 }
 
 // address returns the address and id of the server if it runs a service, whether it
@@ -240,10 +244,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	inUse := s.inUse()
+	_, leaving := s.departure()
 	e := roster.Server{Instance: inUse.Instance, Service: inUse.Service, Slots: s.slots, Limit: s.published}
 	switch {
 	case inUse.Instance.ID == "" || s.instances.Lost():
-	case s.isLeaving():
+	case leaving:
 		e.State = roster.Draining
 	default:
 		e.State = roster.Ready
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/burdockfold/burdockfold/internal/admitting"
+	"github.com/burdockfold/burdockfold/internal/codec"
 	"github.com/burdockfold/burdockfold/internal/core/admission"
 	"github.com/burdockfold/burdockfold/internal/core/advisory"
 	"github.com/burdockfold/burdockfold/internal/core/ident"
@@ -26,9 +27,9 @@
 func newTestServer(clock *manualClock) *server {
 	return &server{
 		clock: clock, log: zap.NewNop(), instances: newTracker(), onChange: func() {}, isConfigured: func(s ident.Service) bool { return s != "other" }, drainTime: 2500 * time.Millisecond,
-		saveDeparture: func(roster.Departure) <-chan struct{} { stored := make(chan struct{}); close(stored); return stored },
-		coldBound:     func(ident.Service) admission.ColdBound { return admission.ColdBound{} },
-		gate:          admitting.NewGate(admission.DefaultConfig(1), clock),
+		saveDepartures: func(roster.Departures) <-chan struct{} { stored := make(chan struct{}); close(stored); return stored },
+		coldBound:      func(ident.Service) admission.ColdBound { return admission.ColdBound{} },
+		gate:           admitting.NewGate(admission.DefaultConfig(1), clock),
 		ownership: &ownership{
 			follower: sharedread.NewFollower(sharedread.DefaultConfig(), "h"), followers: map[ident.Host]ident.Instant{}, readTable: map[ident.Service]versionedTable{},
 			clock: clock, log: zap.NewNop(),
@@ -156,6 +157,51 @@
 	}
 }
 
+// A server left, another writer's heartbeat took its place and left too, and the server was in
+// use again: its acknowledged leave was forgotten. The same in the next process of the daemon.
+func TestLeaveOutlivesThatOfAnotherInstance(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		clock := &manualClock{now: ident.Instant(time.Hour)}
+		s := newTestServer(clock)
+		var saved roster.Departures
+		stored := make(chan struct{})
+		close(stored)
+		s.saveDepartures = func(ds roster.Departures) <-chan struct{} { saved = ds; return stored }
+		s.HandleHeartbeat(newHeartbeat(5, 1))
+		s.HandleLeave("i")
+		foreign := newHeartbeat(9, 1)
+		foreign.Instance.ID, foreign.Draining = "x", true
+		s.HandleHeartbeat(foreign)
+		if restart {
+			value, err := encodeDepartures(saved, clock.now)
+			assert.NilError(t, err)
+			s = newTestServer(clock)
+			known, err := decodeDepartures(value, clock.now)
+			assert.NilError(t, err)
+			for _, d := range known {
+				s.recordDeparture(d, sourceStore)
+			}
+		}
+		for i := int64(2); i < 10; i++ {
+			s.HandleHeartbeat(newHeartbeat(5, i))
+			clock.now = clock.now.Add(heartbeatInterval)
+			s.checkSilence()
+		}
+		to, leaving, ok := s.target("s")
+		assert.Assert(t, to.ID == "i" && leaving && !ok, "restart %t: %+v", restart, to)
+		assert.Equal(t, s.rosterEntry().State, roster.Draining)
+	}
+}
+
+// Daemons of the release before wrote records of one departure.
+func TestRecordOfOneDepartureIsRead(t *testing.T) {
+	value, err := codec.Marshal(storedDeparture{Instance: roster.Instance{ID: "i", StartedMS: 5}, SinceMS: time.Now().UnixMilli()})
+	assert.NilError(t, err)
+	ds, err := decodeDepartures(value, ident.Instant(time.Hour))
+	assert.NilError(t, err)
+	assert.Assert(t, len(ds) == 1 && ds[0].Instance == roster.Instance{ID: "i", StartedMS: 5})
+}
+
 // Before a daemon knows a configuration, its server is one of the service of its settings. Every
 // service counted as configured, so that another writer's server took its place.
 func TestServiceOfTheSettingsCountsWithoutAConfiguration(t *testing.T) {
--- a/internal/sidecar/serveradvisory.go
+++ b/internal/sidecar/serveradvisory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -66,7 +67,7 @@
 		s.gate.SetLimit(limit)
 	}
 	published := s.publishLimit(limit)
-	id, service, departed := s.inUse().Instance.ID, s.inUse().Service, s.departed
+	id, service, departures := s.inUse().Instance.ID, s.inUse().Service, slices.Clone(s.departures)
 	s.mu.Unlock()
 	if limit != before {
 		s.log.Info("server_limit", zap.String("server", id), zap.Float64("per_second", limit), zap.Float64("before", before), zap.String("source", source))
@@ -74,7 +75,7 @@
 	if leaves {
 		s.log.Info("server_states_leave", zap.String("server", id), zap.String("service", string(service)), zap.String("source", source))
 		s.ownership.handleServerDraining(service)
-		s.saveDeparture(departed)
+		s.saveDepartures(departures)
 	}
 	if published || leaves {
 		s.onChange()
@@ -85,17 +86,10 @@
 // new. One of an instance that is not known yet counts from its first heartbeat on. The
 // caller holds s.mu.
 func (s *server) markLeaving(d roster.Departure) bool {
-	switch {
-	case d.Instance.ID == "":
-		return false
-	case d.Instance == s.departed.Instance:
-		s.departed.Since = min(s.departed.Since, d.Since)
-		return false
-	case d.Instance != s.inUse().Instance && (s.isLeaving() || d.Instance.StartedMS < s.departed.Instance.StartedMS):
-		return false // of an earlier instance
-	}
-	s.departed = d
-	return s.isLeaving()
+	_, before := s.departure()
+	s.departures.Record(d)
+	_, after := s.departure()
+	return after && !before
 }
 
 // publishLimit sets the limit that the other daemons know, and reports whether they must
@@ -114,11 +108,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit := s.statements.Limit()
-	leaving := s.isLeaving()
+	d, leaving := s.departure()
 	if limit == 0 && !leaving {
 		return nil
 	}
-	return &advisory.Advisory{Instance: s.inUse().Instance, Limit: limit, Leaving: leaving, LeavingSince: s.departed.Since}
+	return &advisory.Advisory{Instance: s.inUse().Instance, Limit: limit, Leaving: leaving, LeavingSince: d.Since}
 }
 
 // limit returns the limit that the server states, in requests per second; zero if there
--- a/internal/sidecar/suspectreport.go
+++ b/internal/sidecar/suspectreport.go
@@ -99,7 +99,7 @@
 // handleConnected sends all that is known to a daemon that was connected with this one just
 // now: it may have been started or cut off, and missed reports.
 func (p *peers) handleConnected(m ident.Member) {
-	p.sendDepartureNotice(m.Host)
+	p.sendDepartureNotices(m.Host)
 	p.sendEvacuation(func(q *roster.Peer) bool { return q.Member.Host == m.Host })
 	report := p.suspects.report()
 	if report.empty() {
