platform: a heartbeat that is not accepted is not acknowledged

Seen in a test: a server that was taken for replaced announced that it drains. The answer was 200, which confirms it, and nothing was recorded: in use again 3 s later, its drain time was counted from then on, beyond the one confirmed.

Cause: each heartbeat that could be decoded was answered with success.

The server states its state again with its next heartbeat.

--- a/internal/sidecar/ports.go
+++ b/internal/sidecar/ports.go
@@ -46,8 +46,9 @@
 // ServerPort receives the messages of the backend server.
 type ServerPort interface {
 	// HandleHeartbeat processes a heartbeat and returns the grant of the server's keys,
-	// nil if nothing is renewed.
-	HandleHeartbeat(hb Heartbeat) *keyrange.Grant
+	// nil if nothing is renewed. One that is not accepted has no effect, so that what it
+	// announces must not be acknowledged.
+	HandleHeartbeat(hb Heartbeat) (g *keyrange.Grant, accepted bool)
 	// HandleLeave processes the notice that the server with the given id will stop soon.
 	HandleLeave(id string)
 	// HandleMalformed logs a heartbeat that could not be decoded.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -60,15 +60,15 @@
 }
 
 // HandleHeartbeat implements ServerPort.
-func (s *server) HandleHeartbeat(hb Heartbeat) *keyrange.Grant {
+func (s *server) HandleHeartbeat(hb Heartbeat) (g *keyrange.Grant, accepted bool) {
 	if !hb.ListsKeys && s.ownership.grantsByHeartbeat(hb.Service) {
 		s.logRejected(&hb, "without its lists of keys")
-		return nil
+		return nil, false
 	}
 	changed, adoption, outcome := s.updateState(&hb, s.isConfigured(hb.Service))
 	if !outcome.Accepted() {
 		s.logRejected(&hb, outcome.String())
-		return nil
+		return nil, false
 	}
 	if changed {
 		s.log.Info("server_state", zap.String("server", hb.Instance.ID), zap.Int64("born", hb.Instance.StartedMS),
@@ -76,11 +76,11 @@
 		s.gate.SetSlots(hb.Slots, 0)
 		s.onChange()
 	}
-	grant := s.ownership.handleHeartbeat(hb, adoption)
+	g = s.ownership.handleHeartbeat(hb, adoption)
 	if changed && hb.Draining {
 		s.storeDepartures()
 	}
-	return grant
+	return g, true
 }
 
 func (s *server) logRejected(hb *Heartbeat, reason string) {
--- a/internal/standin/shardserver/server.go
+++ b/internal/standin/shardserver/server.go
@@ -144,6 +144,13 @@
 	return append([]Execution(nil), s.executions...)
 }
 
+// Sequence returns the sequence of the last heartbeat.
+func (s *Server) Sequence() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sequence
+}
+
 // HeldRanges returns the key ranges that the server holds now, as [from, to, fence].
 func (s *Server) HeldRanges() [][3]int64 {
 	s.mu.Lock()
