balance: a new instance does not answer for the failures of the former

Cause: the callers' daemons remember the failures of a host in a mean that only its own answers lower. As long as other servers have room it is not chosen, so that it never disproves them.

Change: slowness, failures and refusals are those of an instance, and a new one starts without them.

Evidence: TestNewInstanceDoesNotAnswerForTheFailuresOfTheFormer: 0 of 300 requests before.

--- a/internal/core/balance/choice.go
+++ b/internal/core/balance/choice.go
@@ -119,6 +119,7 @@
 			continue
 		}
 		s := e.observationOf(o.Host)
+		s.setInstance(o.Instance)
 		e.candidates = append(e.candidates, candidate{
 			choice: choice{index: i, option: o}, seen: s, capacity: e.capacity(o, s),
 			fresh: decay(now.Sub(s.reportedAt), e.costs.ReportHalfLife),
--- a/internal/core/balance/estimate.go
+++ b/internal/core/balance/estimate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/roster"
 )
 
 // Distance is the distance of a backend server from the caller.
@@ -50,6 +51,7 @@
 // Option is one server that may run a request.
 type Option struct {
 	Host        ident.Host
+	Instance    roster.Instance
 	Distance    Distance
 	Slots       int
 	Limit       float64 // requests per second that it accepts; zero if it states no limit
@@ -92,10 +94,11 @@
 
 // observation is what this daemon observed of one server.
 type observation struct {
-	inFlight    int     // requests of this daemon
-	othersUsage float64 // slots in use and waiting requests of other daemons, as last reported
-	room, pace  float64 // as last reported
-	linkWait    float64 // as last reported, in seconds
+	instance    roster.Instance // that slowness, failureRate and refusalRate are of
+	inFlight    int             // requests of this daemon
+	othersUsage float64         // slots in use and waiting requests of other daemons, as last reported
+	room, pace  float64         // as last reported
+	linkWait    float64         // as last reported, in seconds
 	reportedAt  ident.Instant
 	delay       float64 // smoothed time on the way beyond that of its distance, in seconds, at delayedAt
 	delayedAt   ident.Instant
@@ -139,6 +142,14 @@
 	return s
 }
 
+// setInstance makes an observation that of an instance. What a former one answered says nothing
+// of how another runs requests, and one that is chosen no more would never disprove it.
+func (s *observation) setInstance(i roster.Instance) {
+	if s.instance != i {
+		s.instance, s.slowness, s.failureRate, s.refusalRate = i, 1, 0, 0
+	}
+}
+
 // slowdownAt returns the factor by which a server's service time grows with its use, the
 // requests that it has per slot.
 func slowdownAt(use float64) float64 { return 1 + use*use }
--- a/internal/core/balance/estimate_test.go
+++ b/internal/core/balance/estimate_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/burdockfold/burdockfold/internal/core/ident"
+	"github.com/burdockfold/burdockfold/internal/core/roster"
 )
 
 // replay sends requests at a fixed interval to servers with the given service
@@ -66,6 +67,35 @@
 	assert.Assert(t, count > 0, "it is tried again")
 }
 
+// Load pattern: a server fails some requests, as one does that crashes, and another instance
+// takes its place while the others have room for all requests. The new instance got no request
+// for as long as they had.
+func TestNewInstanceDoesNotAnswerForTheFailuresOfTheFormer(t *testing.T) {
+	e, rng := NewEstimator(DefaultCosts()), rand.New(rand.NewPCG(1, 2))
+	options := []Option{{Host: "a", Slots: 18}, {Host: "b", Slots: 18}, {Host: "c", Slots: 18}}
+	for i := range options {
+		options[i].Instance = roster.Instance{ID: "i", StartedMS: 1}
+	}
+	now := ident.Instant(time.Hour)
+	shareOfA := func(failing bool) (n int) {
+		for range 300 {
+			now = now.Add(20 * time.Millisecond)
+			best := e.Best(now, rng, Demand{Choosers: 1}, options)
+			e.RecordSent(now, options[best].Host)
+			e.RecordEnd(now.Add(10*time.Millisecond), options[best].Host, Outcome{Route: "r", Failed: failing && best == 0, ServiceTime: 10 * time.Millisecond})
+			if best == 0 {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Assert(t, shareOfA(false) > 60)
+	assert.Assert(t, shareOfA(true) < 10)
+	options[0].Instance.StartedMS = 2
+	n := shareOfA(false)
+	assert.Assert(t, n > 60, "%d of 300 requests reach the new instance", n)
+}
+
 // Load pattern: a long route and a short one. A server must not count as slow
 // because it received the requests of the long route.
 func TestLongRouteDoesNotMakeAServerSlow(t *testing.T) {
--- a/internal/sidecar/choose.go
+++ b/internal/sidecar/choose.go
@@ -138,7 +138,7 @@
 	options := make([]balance.Option, len(ps))
 	for i, p := range ps {
 		options[i] = balance.Option{
-			Host: p.Member.Host, Distance: c.distance(p.Location), Slots: p.Server.Slots, Limit: p.Server.Limit,
+			Host: p.Member.Host, Instance: p.Server.Instance, Distance: c.distance(p.Location), Slots: p.Server.Slots, Limit: p.Server.Limit,
 			Cold: now < p.ColdUntil, ColdRate: coldRate, Unreachable: p.UnreachableSince > 0,
 		}
 	}
