sidecar: a refused connection counts against the server that refused it

Seen in a test: a connection refused by the former server, noticed late, marked the one that had taken its place as lost.

Cause: a refusal was taken for the end of whatever server was in use, and all runs in progress for what it had worked on.

Change: a refusal names the server that refused. It counts only while that one is in use, and suspects requests only if one was written to it before. A server that restarts under its id and address is not told from the one before.

--- a/internal/sidecar/crashwatch.go
+++ b/internal/sidecar/crashwatch.go
@@ -37,9 +37,10 @@
 	probing  sync.Mutex    // held while accepts is called, so that one of several lost runs does so
 	probedAt ident.Instant // when the last call ended; guarded by probing
 
-	mu    sync.Mutex // guards the fields below
-	runs  *quarantine.Runs
-	ended roster.Instance // the last instance that is known to have ended
+	mu      sync.Mutex // guards the fields below
+	runs    *quarantine.Runs
+	reached origin.Server   // the last server that a request was written to
+	ended   roster.Instance // the last instance that is known to have ended
 }
 
 // beginRun records that a request is about to be sent to the server.
@@ -53,6 +54,11 @@
 // first finds out whether the server has ended.
 func (w *crashWatch) endRun(run quarantine.RunID, to origin.Server, a *hop.Answer) quarantine.Outcome {
 	outcome := runOutcomeOf(a)
+	if a.ReachedBackend {
+		w.mu.Lock()
+		w.reached = to
+		w.mu.Unlock()
+	}
 	if a.ConnectionLost {
 		w.probe(run, to)
 	}
@@ -88,20 +94,29 @@
 	defer cancel()
 	defer func() { w.probedAt = w.clock.Now() }()
 	if accepts, ok := w.accepts(ctx, to); ok && !accepts {
-		w.handleServerEnd()
+		w.handleServerEnd(to)
 	}
 }
 
-// handleServerEnd records that the server, whose connections are refused, has ended. The end
-// of a server that leaves is its own.
-func (w *crashWatch) handleServerEnd() {
+// handleServerEnd records that a server, whose connections are refused, has ended. The end
+// of a server that leaves is its own. One that never was reached is no server that ended, but
+// an address that another writer may have named.
+func (w *crashWatch) handleServerEnd(by origin.Server) {
+	if !w.server.isInUse(by) {
+		return
+	}
 	instance, leaving, lost := w.server.current()
 	w.mu.Lock()
+	if w.reached != by {
+		w.mu.Unlock()
+		w.server.handleConnectionRefused(by)
+		return
+	}
 	suspects := w.runs.TakeSuspects(w.clock.Now())
 	known := lost && instance == w.ended // these runs began after its end
 	w.ended = instance
 	w.mu.Unlock()
-	w.server.handleConnectionRefused()
+	w.server.handleConnectionRefused(by)
 	if len(suspects) == 0 || known || leaving {
 		return
 	}
--- a/internal/sidecar/executor.go
+++ b/internal/sidecar/executor.go
@@ -166,9 +166,9 @@
 	switch {
 	case a.Failure == nil || a.Failure.Kind != errkind.BackendUnavailable:
 	case errors.Is(a.Failure, syscall.ECONNREFUSED):
-		x.crashes.handleServerEnd()
+		x.crashes.handleServerEnd(target)
 	default:
-		x.server.handleConnectionRefused()
+		x.server.handleConnectionRefused(target)
 	}
 	return a
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -181,9 +181,22 @@
 }
 
 // handleConnectionRefused marks the server as lost because it refused a connection, until
-// its next heartbeat.
-func (s *server) handleConnectionRefused() {
-	s.handleLoss("server_refuses", s.instances.MarkLost)
+// its next heartbeat. It does nothing if another server is in use by now.
+func (s *server) handleConnectionRefused(by origin.Server) {
+	s.handleLoss("server_refuses", func() bool { return s.origin() == by && s.instances.MarkLost() })
+}
+
+// isInUse reports whether a server is the one in use.
+func (s *server) isInUse(t origin.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.origin() == t
+}
+
+// origin returns the address and id of the server. The caller holds s.mu.
+func (s *server) origin() origin.Server {
+	inUse := s.inUse()
+	return origin.Server{Addr: inUse.Addr, ID: inUse.Instance.ID}
 }
 
 // handleLoss calls mark with s.mu locked, and logs and tells the ownership and the other daemons
@@ -212,7 +225,7 @@
 	}
 	d, leaving := s.departure()
 	over := leaving && s.clock.Now().Sub(d.Since) > s.drainTime-drainMargin
-	return origin.Server{Addr: inUse.Addr, ID: inUse.Instance.ID}, leaving, !s.instances.Lost() && !over
+	return s.origin(), leaving, !s.instances.Lost() && !over
 }
 
 // departure returns the departure of the server, if it has announced its end. The caller holds
@@ -236,7 +249,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	inUse := s.inUse()
-	return origin.Server{Addr: inUse.Addr, ID: inUse.Instance.ID}, inUse.Instance.ID != "" && inUse.Service == service
+	return s.origin(), inUse.Instance.ID != "" && inUse.Service == service
 }
 
 // rosterEntry returns the state of the server as published to the other daemons.
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -17,6 +17,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/roster"
 	"github.com/burdockfold/burdockfold/internal/core/routes"
 	"github.com/burdockfold/burdockfold/internal/core/sharedread"
+	"github.com/burdockfold/burdockfold/internal/origin"
 )
 
 // manualClock is a clock that a test advances.
@@ -39,6 +40,9 @@
 	}
 }
 
+// testOrigin is the server that sends the heartbeats of newHeartbeat.
+var testOrigin = origin.Server{Addr: "a:1", ID: "i"}
+
 func newHeartbeat(born, sequence int64) Heartbeat {
 	return Heartbeat{Instance: roster.Instance{ID: "i", StartedMS: born}, Service: "s", Addr: "a:1", Slots: 2, Sequence: sequence, ListsKeys: true}
 }
@@ -82,7 +86,7 @@
 		},
 		"the server refuses connections": func(s *server, _ *manualClock) {
 			s.HandleHeartbeat(newHeartbeat(1, 1))
-			s.handleConnectionRefused()
+			s.handleConnectionRefused(testOrigin)
 		},
 		"the server lives": func(s *server, _ *manualClock) { s.HandleHeartbeat(newHeartbeat(1, 1)) },
 	} {
@@ -144,8 +148,10 @@
 			hb := newHeartbeat(born, 1)
 			hb.Instance.ID = id
 			s.HandleHeartbeat(hb)
+			if id != "i" || born < 5 {
+				s.handleConnectionRefused(testOrigin) // by the former one, noticed late
+			}
 			if born < 5 {
-				s.handleConnectionRefused() // by the former one
 				clock.now = clock.now.Add(heartbeatInterval)
 				hb.Sequence++
 				s.HandleHeartbeat(hb)
--- a/internal/sidecar/suspects_test.go
+++ b/internal/sidecar/suspects_test.go
@@ -207,9 +207,9 @@
 		r := requestTo("/a")
 		first := w.beginRun(quarantine.Run{Fingerprint: r.Fingerprint})
 		second := w.beginRun(quarantine.Run{Fingerprint: r.Fingerprint})
-		w.endRun(first, origin.Server{}, lostAnswer())
+		w.endRun(first, testOrigin, lostAnswer())
 		assert.Equal(t, len(*crashes), c.suspected, c.name)
-		w.endRun(second, origin.Server{}, lostAnswer())
+		w.endRun(second, testOrigin, lostAnswer())
 		assert.Equal(t, len(*crashes), c.suspected, c.name)
 		assert.Equal(t, *probes, 1, "%s: one probe for all", c.name)
 	}
@@ -220,19 +220,49 @@
 	w, _, crashes := newTestCrashWatch(false)
 	r := requestTo("/a")
 	id := w.beginRun(quarantine.Run{Fingerprint: r.Fingerprint})
-	w.endRun(id, origin.Server{}, lostAnswer())
+	w.endRun(id, testOrigin, lostAnswer())
 	assert.Equal(t, len(*crashes), 1)
 	w.beginRun(quarantine.Run{Fingerprint: r.Fingerprint})
-	w.handleServerEnd()
+	w.handleServerEnd(testOrigin)
 	assert.Equal(t, len(*crashes), 1)
 
 	// A server that states no time of its start is the same instance after a restart.
 	w.server.HandleHeartbeat(newHeartbeat(1, 2))
 	w.beginRun(quarantine.Run{Fingerprint: r.Fingerprint})
-	w.handleServerEnd()
+	w.handleServerEnd(testOrigin)
 	assert.Equal(t, len(*crashes), 2)
 }
 
+// Another writer named an address that nobody listens on. The requests that were sent there, and
+// those that the real server worked on, were suspected of having ended a server.
+func TestAddressThatWasNeverReachedSuspectsNoRequests(t *testing.T) {
+	w, _, crashes := newTestCrashWatch(false)
+	r := requestTo("/a")
+	id := w.beginRun(quarantine.Run{Fingerprint: r.Fingerprint})
+	w.endRun(id, testOrigin, &hop.Answer{Status: 200, ReachedBackend: true})
+	w.beginRun(quarantine.Run{Fingerprint: r.Fingerprint}) // the real server works on it
+	foreign := newHeartbeat(9, 1)
+	foreign.Instance.ID, foreign.Addr = "x", "nobody:1"
+	w.server.HandleHeartbeat(foreign)
+	w.beginRun(quarantine.Run{Fingerprint: r.Fingerprint})
+	w.handleServerEnd(origin.Server{Addr: "nobody:1", ID: "x"})
+	assert.Equal(t, len(*crashes), 0)
+	_, _, lost := w.server.current()
+	assert.Assert(t, lost, "it is not used all the same")
+}
+
+// A connection that the former server refused counted against the one that had taken its place.
+func TestRefusalOfAFormerServerDoesNotCountAgainstItsSuccessor(t *testing.T) {
+	w, _, _ := newTestCrashWatch(false)
+	successor := newHeartbeat(9, 1)
+	successor.Instance.ID = "x"
+	w.server.HandleHeartbeat(successor)
+	w.handleServerEnd(testOrigin)
+	w.server.handleConnectionRefused(testOrigin)
+	_, _, lost := w.server.current()
+	assert.Assert(t, !lost)
+}
+
 // The error of a server that fails part of its requests does not clear one that ends servers.
 func TestOnlyASuccessfulRunClearsARequest(t *testing.T) {
 	for status, want := range map[int]quarantine.Outcome{200: quarantine.Answered, 404: quarantine.Answered, 500: quarantine.Inconclusive, 504: quarantine.Inconclusive} {
