--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -135,15 +135,17 @@
 	return nil
 }
 
-// encodeDepartures returns the record of departures, of which there is at least one.
+// encodeDepartures returns the record of departures.
 func encodeDepartures(ds roster.Departures, now ident.Instant) ([]byte, error) {
-	var stored []storedDeparture
-	for _, d := range ds {
+	var v storedDepartures
+	for i, d := range ds {
+		if i > 0 {
+			v.Earlier = append(v.Earlier, v.storedDeparture)
+		}
 		since := time.Now().Add(-now.Sub(d.Since))
-		stored = append(stored, storedDeparture{Instance: d.Instance, AnyStart: d.AnyStart, SinceMS: since.UnixMilli()})
+		v.storedDeparture = storedDeparture{Instance: d.Instance, AnyStart: d.AnyStart, SinceMS: since.UnixMilli()}
 	}
-	last := len(stored) - 1
-	return codec.Marshal(storedDepartures{stored[last], stored[:last]})
+	return codec.Marshal(v)
 }
 
 // decodeDepartures returns the departures that a record states, the latest last.
