sidecar: a leave without lists of keys waits for a configuration

By reading: before the first configuration a daemon does not know which services are divided by key, so that a heartbeat of another writer which only lacked holds and freed counted, and one in state draining ended the server's use for good.

Change: until a configuration is in force, such a heartbeat has no effect if it says that the server leaves. It is not acknowledged, so that a server of a service without keys says it again.

Evidence: TestLeaveWithoutListsWaitsForAConfiguration fails on the code before.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -123,7 +123,7 @@
 	d.departures = newDepartureStore(d.member.Host, d.adapter.Log, d.clock, log)
 	d.buildOwnership()
 	d.server = &server{clock: d.clock, instances: newTracker(), ownership: d.ownership, gate: d.gate, log: log, drainTime: cfg.Drain.ServerTime, onChange: func() { d.peers.requestHello() },
-		isConfigured: func(s ident.Service) bool { return d.configs.isConfigured(s) }, saveDepartures: d.departures.save,
+		isConfigured: func(s ident.Service) bool { return d.configs.isConfigured(s) }, knowsConfig: func() bool { return d.configs.Routes() != nil }, saveDepartures: d.departures.save,
 		coldBound: func(s ident.Service) admission.ColdBound { return coldBoundOf(d.configs.Routes(), s, cfg.Cold) }}
 	d.evacuations = newEvacuations(cfg.Host.FailureDomain, cfg.Evacuation.ApplyTime, adapter.DecodeEvacuation, d.clock, log)
 	d.evacuations.metrics = d.metrics
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -38,6 +38,7 @@
 
 	coldBound      func(ident.Service) admission.ColdBound          // what a cold server of a service tolerates
 	isConfigured   func(ident.Service) bool                         // reports whether a service exists, by the configuration in force or the settings
+	knowsConfig    func() bool                                      // reports whether a configuration is in force
 	saveDepartures func(roster.Departures) (stored <-chan struct{}) // lets the next process of the daemon know them
 
 	drainTime time.Duration // how long a leaving server may still get requests
@@ -61,7 +62,7 @@
 
 // HandleHeartbeat implements ServerPort.
 func (s *server) HandleHeartbeat(hb Heartbeat) (g *keyrange.Grant, accepted bool) {
-	if !hb.ListsKeys && s.ownership.grantsByHeartbeat(hb.Service) {
+	if !hb.ListsKeys && s.mustListKeys(&hb) {
 		s.logRejected(&hb, "without its lists of keys")
 		return nil, false
 	}
@@ -83,6 +84,13 @@
 	return g, true
 }
 
+// mustListKeys reports whether a heartbeat has no effect without its lists of keys. Before the
+// first configuration it is not known which services are divided by key: what cannot be taken
+// back waits for it.
+func (s *server) mustListKeys(hb *Heartbeat) bool {
+	return s.ownership.grantsByHeartbeat(hb.Service) || hb.Draining && !s.knowsConfig()
+}
+
 func (s *server) logRejected(hb *Heartbeat, reason string) {
 	s.log.Warn("server_heartbeat_rejected", zap.String("server", hb.Instance.ID), zap.String("service", string(hb.Service)),
 		zap.Int64("born", hb.Instance.StartedMS), zap.Int64("sequence", hb.Sequence), zap.String("reason", reason))
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -27,7 +27,7 @@
 
 func newTestServer(clock *manualClock) *server {
 	return &server{
-		clock: clock, log: zap.NewNop(), instances: newTracker(), onChange: func() {}, isConfigured: func(s ident.Service) bool { return s != "other" }, drainTime: 2500 * time.Millisecond,
+		clock: clock, log: zap.NewNop(), instances: newTracker(), onChange: func() {}, isConfigured: func(s ident.Service) bool { return s != "other" }, drainTime: 2500 * time.Millisecond, knowsConfig: func() bool { return true },
 		saveDepartures: func(roster.Departures) <-chan struct{} { stored := make(chan struct{}); close(stored); return stored },
 		coldBound:      func(ident.Service) admission.ColdBound { return admission.ColdBound{} },
 		gate:           admitting.NewGate(admission.DefaultConfig(1), clock),
@@ -208,6 +208,26 @@
 	assert.Assert(t, len(ds) == 1 && ds[0].Instance == roster.Instance{ID: "i", StartedMS: 5})
 }
 
+// Before a daemon knew a configuration, and so whether its server's service is divided by key, a
+// heartbeat of another writer that only lacked the lists of keys ended the server's use for good.
+func TestLeaveWithoutListsWaitsForAConfiguration(t *testing.T) {
+	clock := &manualClock{now: ident.Instant(time.Hour)}
+	s := newTestServer(clock)
+	known := false
+	s.knowsConfig = func() bool { return known }
+	s.ownership.agents = nil // made by the first configuration
+	s.HandleHeartbeat(newHeartbeat(5, 1))
+	foreign := newHeartbeat(5, 2)
+	foreign.ListsKeys, foreign.Draining = false, true
+	_, accepted := s.HandleHeartbeat(foreign)
+	assert.Assert(t, !accepted)
+	assert.Equal(t, s.rosterEntry().State, roster.Ready)
+	known = true // the service is not divided by key: its servers list none
+	_, accepted = s.HandleHeartbeat(foreign)
+	assert.Assert(t, accepted)
+	assert.Equal(t, s.rosterEntry().State, roster.Draining)
+}
+
 // Before a daemon knows a configuration, its server is one of the service of its settings. Every
 // service counted as configured, so that another writer's server took its place.
 func TestServiceOfTheSettingsCountsWithoutAConfiguration(t *testing.T) {
