--- a/internal/core/keyrange/grant.go
+++ b/internal/core/keyrange/grant.go
@@ -46,8 +46,8 @@
 
 // HandleHeartbeat updates the state of the server and returns the grant for the
 // answer. It returns nil if the heartbeat is from an earlier instance or out of
-// order, or if the lease has expired. An adoption that is not the last one is earlier; within
-// one, the start of the instance decides.
+// order, or if the lease has expired. An instance of an earlier adoption is an earlier one;
+// within an adoption the start decides.
 func (a *Agent) HandleHeartbeat(b Heartbeat, now ident.Instant) *Grant {
 	switch {
 	case b.Adoption < a.adoption:
@@ -73,11 +73,11 @@
 	return a.buildGrant(b.Sequence, now)
 }
 
-// adoptInstance switches to the instance of a heartbeat, which is taken to hold nothing by an
-// answer of this agent. The heartbeat does not prove that the previous instance has ended, so
-// that its grants count until they expire; the adopted one receives its own at once. Calls name
-// no start time, so that one sent before the first heartbeat of an instance that restarted
-// under its id may have reached that instance: such grants count until they expire.
+// adoptInstance switches to the instance of a heartbeat, which has received no grant in this
+// adoption. The heartbeat does not prove that the previous instance has ended: its grants count
+// until they expire. Calls name no start time, so that one sent before the first heartbeat of
+// an instance that restarted under its id may have reached that instance: such grants count
+// until they expire, too.
 func (a *Agent) adoptInstance(b Heartbeat) {
 	if a.instance != (roster.Instance{}) {
 		a.formerGrantsEnd = a.grantsEnd
--- a/internal/core/succession/succession.go
+++ b/internal/core/succession/succession.go
@@ -40,7 +40,7 @@
 	Continued       Outcome = iota // from the instance in use
 	Adopted                        // from another instance, which is in use from now on
 	Unconfigured                   // from another instance, of a service that is not configured
-	EarlierInstance                // from an instance that started no later than the one in use
+	EarlierInstance                // from another instance, service or address, started no later than the one in use
 	OutOfOrder                     // sent before an earlier one of the instance in use
 	SequenceAhead                  // with a sequence that the instance cannot have reached
 )
--- a/internal/sidecar/crashwatch.go
+++ b/internal/sidecar/crashwatch.go
@@ -99,8 +99,8 @@
 }
 
 // handleServerEnd records that a server, whose connections are refused, has ended. The end
-// of a server that leaves is its own. One that never was reached is no server that ended, but
-// an address that another writer may have named.
+// of a server that leaves is its own. An address that was never reached may be one on which no
+// server ever listened: it suspects no requests.
 func (w *crashWatch) handleServerEnd(by origin.Server) {
 	if !w.server.isInUse(by) {
 		return
