httpconn: examine the whole head of an answer for its lines and its length

What callers saw: a server in trouble sent an answer whose head was spoilt where it tells the length of the body, or that held a line which is no field. Callers got it as a complete answer, under the server's signature, with a body that was not the server's; beside X-Not-Executed they got it as a promise that the request had not run.

Cause: the daemon examined 13 bytes of the status line and left the rest to the HTTP library, which repairs heads. Of two lengths it takes the last; a line that begins with a blank becomes part of the value before it, also of the signature; it reads any transfer coding but identity as chunks, and drops identity and an empty one, so that the chunks, or what a length said, become the body.

FuzzCheckStatus examines that line alone.

Change: ReadHead and CheckHead take the place of the two loops that read heads. CheckHead examines all lines before the library sees them: no folded line, none without a colon, one length in digits (twice the same is one, RFC 9112, section 6.3), no coding but chunked, once, without a length and not in HTTP/1.0. A head that fails is no answer: the outcome of the request is unknown, 502.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -110,7 +110,7 @@
 		h.Reset()
 		answerHeaderPool.Put(h)
 	}()
-	if err := readHeader(x, h); err != nil {
+	if err := httpconn.ReadHead(x.conn.R, h); err != nil {
 		return nil, x.wrapError(err)
 	}
 	if reason := h.Peek(HeaderRefused); len(reason) > 0 {
@@ -124,23 +124,6 @@
 
 var answerHeaderPool = sync.Pool{New: func() any { return new(fasthttp.ResponseHeader) }}
 
-// readHeader reads the header of the final answer into h. It skips informational
-// answers (status 1xx).
-func readHeader(x *exchange, h *fasthttp.ResponseHeader) error {
-	for {
-		status, err := httpconn.CheckStatus(x.conn.R)
-		if err != nil {
-			return err
-		}
-		if err := h.Read(x.conn.R); err != nil {
-			return err
-		}
-		if status >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-}
-
 // answer returns the response for the header h. It releases the connection at once if
 // the answer has no body or a buffered one.
 func (x *exchange) answer(h *fasthttp.ResponseHeader) (*pipeline.Response, error) {
--- a/internal/backend/status_test.go
+++ b/internal/backend/status_test.go
@@ -40,7 +40,7 @@
 		answers <- answer
 		postErr := s.post(context.Background(), ln.Addr().String(), PathGrants, nil)
 		var h fasthttp.ResponseHeader
-		readErr := readHeader(&exchange{conn: &httpconn.Conn{R: bufio.NewReader(strings.NewReader(answer))}}, &h)
+		readErr := httpconn.ReadHead(bufio.NewReader(strings.NewReader(answer)), &h)
 		if status == "200" {
 			assert.NilError(t, postErr)
 			assert.NilError(t, readErr)
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -20,8 +20,7 @@
 )
 
 const (
-	maxStaleAnswers  = 3  // answers read on one connection in search of the request's own
-	maxInformational = 16 // informational answers read before the final one
+	maxStaleAnswers = 3 // answers read on one connection in search of the request's own
 
 	// idleMargin is subtracted from the idle time that the server announces, so that
 	// the client does not send a request while the server closes the connection.
--- a/internal/origin/receive.go
+++ b/internal/origin/receive.go
@@ -27,7 +27,7 @@
 	for range maxStaleAnswers {
 		h.Reset()
 		h.DisableNormalizing()
-		if err := x.readHeader(h); err != nil {
+		if err := httpconn.ReadHead(x.conn.R, h); err != nil {
 			return x.fail(err), false
 		}
 		body, room, keep, err := x.readBody(h)
@@ -50,23 +50,6 @@
 	return hop.FailedAnswer(errkind.New(errkind.OutcomeUnknown, "only answers to other requests came")), false
 }
 
-// readHeader reads the header of a final answer and skips informational (1xx) ones.
-func (x *exchange) readHeader(h *fasthttp.ResponseHeader) error {
-	for range maxInformational {
-		status, err := httpconn.CheckStatus(x.conn.R)
-		if err != nil {
-			return err
-		}
-		if err := h.Read(x.conn.R); err != nil {
-			return err
-		}
-		if status >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-	return errors.New("origin: only informational answers came")
-}
-
 // namesOtherRequest reports whether an answer carries the id of another request.
 func (x *exchange) namesOtherRequest(h *fasthttp.ResponseHeader) bool {
 	id := headerValue(h, x.names.RequestID)
