httpconn: names of an answer's fields are tokens, and its lines end as lines

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank or a control byte. Callers got it as an answer, with that line passed on, or with a body that was not the server's.

Cause: the HTTP library accepts a blank in a name. A name with one is no Content-Length or Transfer-Encoding either, so that the answer had no length and chunks came to the caller as its body. Other control bytes the library refuses, but for a line feed: it ends a line, and an empty line the head. "\r\n\nX-A: y" ends the head before the name, and "X-A: y" and the fields after it become the body.

Change: CheckHead wants a token for a name, CRLF at the end of each line, and no control character but tabs in the status line and in values. The check of a line is shared with the header of requests (splitField), where the library refuses these bytes already.

--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -45,24 +45,29 @@
 	if err != nil {
 		return 0, err
 	}
+	if hasControl(line) {
+		return 0, fmt.Errorf("%w: %w", ErrHead, ErrControlInLine)
+	}
 	f := framing{version10: bytes.HasPrefix(line, []byte("HTTP/1.0"))}
-	for at := len(line); ; at += len(line) {
+	for at := len(line) + len(lineEnd); ; at += len(line) + len(lineEnd) {
 		line, err = peekLine(r, at)
 		if err != nil {
 			return 0, err
 		}
-		field := bytes.TrimRight(line, "\r\n")
-		if len(field) == 0 {
+		if len(line) == 0 {
 			return status, f.check()
 		}
-		if err := f.addField(field); err != nil {
+		if err := f.addField(line); err != nil {
 			return 0, fmt.Errorf("%w: %w", ErrHead, err)
 		}
 	}
 }
 
-// peekLine returns the line that begins at a position of the unread bytes, with its end. It is
-// valid until the next read.
+const lineEnd = "\r\n"
+
+// peekLine returns the line that begins at a position of the unread bytes, without its end. It is
+// valid until the next read. A line feed alone ends no line: it may have come into a name or a
+// value, and what seems to be the body may be the rest of the head.
 func peekLine(r *bufio.Reader, at int) ([]byte, error) {
 	for searched := at; ; {
 		b, err := r.Peek(max(r.Buffered(), searched+1))
@@ -70,7 +75,11 @@
 			return nil, err
 		}
 		if i := bytes.IndexByte(b[searched:], '\n'); i >= 0 {
-			return b[at : searched+i+1], nil
+			line, ok := bytes.CutSuffix(b[at:searched+i+1], []byte(lineEnd))
+			if !ok {
+				return nil, fmt.Errorf("%w: %w", ErrHead, ErrControlInLine)
+			}
+			return line, nil
 		}
 		searched = len(b)
 	}
@@ -87,12 +96,9 @@
 // addField checks a line of the head, without its end, and adds what it tells. The same length may
 // be told twice (RFC 9112, section 6.3). Of the codings only chunked is ever asked for.
 func (f *framing) addField(line []byte) error {
-	if line[0] == ' ' || line[0] == '\t' {
-		return ErrFoldedLine
-	}
-	name, value, ok := bytes.Cut(line, []byte{':'})
-	if !ok {
-		return ErrNoColon
+	name, value, err := splitField(line)
+	if err != nil {
+		return err
 	}
 	value = bytes.Trim(value, " \t")
 	switch {
--- a/internal/httpconn/strict.go
+++ b/internal/httpconn/strict.go
@@ -4,13 +4,15 @@
 	"bytes"
 	"errors"
 	"fmt"
+
+	"golang.org/x/net/http/httpguts"
 )
 
-// Errors of CheckHeader. Each names a defect of a request header that two HTTP
+// Errors of CheckHeader and CheckHead. Each names a defect of a header that two HTTP
 // parsers might interpret differently.
 var (
 	ErrFoldedLine         = errors.New("httpconn: folded header line")
-	ErrSpaceInFieldName   = errors.New("httpconn: space in a field name")
+	ErrFieldName          = errors.New("httpconn: field name that is no token")
 	ErrNoColon            = errors.New("httpconn: header line without a colon")
 	ErrMultipleHosts      = errors.New("httpconn: more than one Host field")
 	ErrAmbiguousLength    = errors.New("httpconn: ambiguous length of the body")
@@ -28,17 +30,10 @@
 		if len(line) == 0 {
 			continue
 		}
-		if line[0] == ' ' || line[0] == '\t' {
-			return ErrFoldedLine
-		}
-		name, value, ok := bytes.Cut(line, []byte{':'})
+		name, value, err := splitField(line)
 		switch {
-		case !ok:
-			return ErrNoColon
-		case len(name) == 0 || bytes.ContainsAny(name, " \t"):
-			return fmt.Errorf("%w %q", ErrSpaceInFieldName, name)
-		case bytes.ContainsAny(line, "\x00\r\n"):
-			return ErrControlInLine
+		case err != nil:
+			return err
 		case bytes.EqualFold(name, []byte("host")):
 			hosts++
 		case bytes.EqualFold(name, []byte("content-length")):
@@ -63,3 +58,31 @@
 	}
 	return nil
 }
+
+// splitField returns the name and the value of a header line, which is given without its end. It
+// returns an error if the line is no field by RFC 9110, section 5.
+func splitField(line []byte) (name, value []byte, err error) {
+	if line[0] == ' ' || line[0] == '\t' {
+		return nil, nil, ErrFoldedLine
+	}
+	name, value, ok := bytes.Cut(line, []byte{':'})
+	switch {
+	case !ok:
+		return nil, nil, ErrNoColon
+	case !httpguts.ValidHeaderFieldName(string(name)):
+		return nil, nil, fmt.Errorf("%w: %q", ErrFieldName, name)
+	case hasControl(value):
+		return nil, nil, ErrControlInLine
+	}
+	return name, value, nil
+}
+
+// hasControl reports whether text has a control character besides tabs.
+func hasControl(text []byte) bool {
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/httpconn/strict_test.go
+++ b/internal/httpconn/strict_test.go
@@ -13,7 +13,7 @@
 	}{
 		{"Host: a\r\nX: b\r\n", nil},
 		{"Host: a\r\nTransfer-Encoding: chunked\r\n", nil},
-		{"Host: a\r\nTransfer-Encoding : chunked\r\n", ErrSpaceInFieldName},
+		{"Host: a\r\nTransfer-Encoding : chunked\r\n", ErrFieldName},
 		{"Host: a\r\nHost: b\r\n", ErrMultipleHosts},
 		{"Host: a\r\nX: b\r\n c\r\n", ErrFoldedLine},
 		{"Host: a\r\nnonsense\r\n", ErrNoColon},
