httpconn: lines after the last chunk are fields, or the answer is none

What callers would see: an answer in chunks with a spoilt line after its last chunk came to them as a success. No report has it; found when the other places that read answers were checked.

Cause: the trailer section was skipped by its line feeds alone, and two bytes were taken for its end whatever they were ("x\n").

Change: the same checks of a line as in the head: CRLF at its end, a token for a name, no control characters. An answer that ends within the section is still a cut connection; one with a broken line is not, so that no crash of the server is supposed.

The head test has a form more: without the rule that chunked is stated once, no unit test failed.

--- a/internal/httpconn/body.go
+++ b/internal/httpconn/body.go
@@ -112,14 +112,24 @@
 }
 
 // skipTrailer discards the trailer fields and the empty line that ends them. It
-// returns io.EOF at the end of the body.
+// returns io.EOF at the end of the body, and an error if a line is no field.
 func (c *chunkedReader) skipTrailer() error {
 	for {
-		line, err := c.trailer.ReadSlice('\n')
-		if err != nil {
+		line, err := peekLine(c.trailer, 0)
+		if errors.Is(err, io.EOF) {
 			return fmt.Errorf("%w: trailer: %w", ErrTruncated, err)
 		}
-		if len(line) <= len("\r\n") {
+		if err == nil && len(line) > 0 {
+			_, _, err = splitField(line)
+		}
+		if err != nil {
+			return fmt.Errorf("httpconn: trailer: %w", err)
+		}
+		last := len(line) == 0
+		if _, err := c.trailer.Discard(len(line) + len(lineEnd)); err != nil {
+			return err
+		}
+		if last {
 			c.done = true
 			return io.EOF
 		}
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -29,6 +29,7 @@
 	"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775808\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
 }
 
 func TestCheckHead(t *testing.T) {
