httpconn: answers to calls, of the store and to the Go client have whole heads too

What was seen when the other places that read answers were checked: a grant or a command to a server that was answered with a spoilt head counted as carried out (200), as not carried out (503) or as fenced (409); an append that the store answered so counted as done, as not done or as moved. The Go client took a spoilt answer of a daemon for one, with its statement whether the request ran, and 000 for 200. No caller reported this.

Cause: StatusConn, below the HTTP library, looked at the status line only, and the store's client, the earlier log service's and the Go client had no such check.

Change: StatusConn is AnswerConn now and checks with CheckHead; all of these connections go through it. What follows from an answer that is none was there: a grant's outcome is unknown, an append's too, a read fails, a request's truth is unknown.

Evidence: TestCallsAnsweredWithSpoiltHead (grant, release, append; seven forms, four statuses), TestSpoiltHeadIsNoAnswer (commands and exchanges of the earlier daemon), TestAnswerWithSpoiltHeadIsUnknown (log service) and TestClientRejectsSpoiltHead.

Already handled: the earlier daemon has no answers that end with the connection, so the reset during an upload is none there; TestAnswerResetDuringTheUpload keeps it. The HTTP library reads no answer after a failed write, by its source.

--- a/client.go
+++ b/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/httpconn"
 )
 
 // Truth states what is known about the execution of a request: that it did not
@@ -123,7 +124,7 @@
 				if err != nil {
 					return nil, &dialError{err}
 				}
-				return c, nil
+				return httpconn.NewAnswerConn(c), nil
 			},
 		},
 	}, nil
--- a/internal/backend/commands.go
+++ b/internal/backend/commands.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return httpconn.NewStatusConn(c), nil
+	return httpconn.NewAnswerConn(c), nil
 }
 
 // Cancel implements Canceler. It queues the cancellation and returns at once.
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -37,7 +37,7 @@
 // parsers repair it, each in its own way, and take other bytes for the body than the server sent.
 // The error wraps ErrStatusLine or ErrHead, or is that of r.
 func CheckHead(r *bufio.Reader) (status int, err error) {
-	status, err = CheckStatus(r)
+	status, err = checkStatus(r)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/httpconn/status.go
+++ b/internal/httpconn/status.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
 )
 
 // ErrStatusLine means that an answer does not begin with the status line of one.
@@ -14,10 +13,10 @@
 // statusLineStart is the length of the part of a status line that is examined.
 const statusLineStart = len("HTTP/1.1 200")
 
-// CheckStatus examines the status line of the next answer without reading it, after any empty
+// checkStatus examines the status line of the next answer without reading it, after any empty
 // lines, which it skips. It returns the status, which has three digits, from 100 to 599 without
 // 101, since nobody asks for another protocol. HTTP parsers take more than that for a status.
-func CheckStatus(r *bufio.Reader) (int, error) {
+func checkStatus(r *bufio.Reader) (int, error) {
 	for {
 		b, err := r.Peek(1)
 		if err != nil {
@@ -55,42 +54,3 @@
 	}
 	return status, nil
 }
-
-// StatusConn is a connection to a backend server that checks the status line of each answer,
-// for HTTP clients that take other lines for answers too. An interim answer fails: the calls
-// that use it ask for none. Requests and answers alternate.
-type StatusConn struct {
-	net.Conn
-	r      *bufio.Reader
-	asking bool // a request was written whose answer has not begun
-}
-
-// NewStatusConn returns a StatusConn on top of c.
-func NewStatusConn(c net.Conn) *StatusConn {
-	return &StatusConn{Conn: c, r: bufio.NewReaderSize(c, statusConnBuffer)}
-}
-
-// statusConnBuffer is large enough for the part of a status line that is examined; longer reads
-// pass it by.
-const statusConnBuffer = 64
-
-// Write implements net.Conn.
-func (c *StatusConn) Write(p []byte) (int, error) {
-	c.asking = true
-	return c.Conn.Write(p)
-}
-
-// Read implements net.Conn.
-func (c *StatusConn) Read(p []byte) (int, error) {
-	if c.asking {
-		status, err := CheckStatus(c.r)
-		if err == nil && status < 200 {
-			err = fmt.Errorf("%w: interim status %d", ErrStatusLine, status)
-		}
-		if err != nil {
-			return 0, err
-		}
-		c.asking = false
-	}
-	return c.r.Read(p)
-}
--- a/internal/httpconn/status_test.go
+++ b/internal/httpconn/status_test.go
@@ -23,7 +23,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data string) {
 		r := bufio.NewReader(strings.NewReader(data))
-		status, err := CheckStatus(r)
+		status, err := checkStatus(r)
 		m := wellFormed.FindStringSubmatch(data)
 		if m == nil || m[1] == "101" {
 			assert.Assert(t, err != nil, "status %d of %q", status, data)
--- a/internal/logservice/client_test.go
+++ b/internal/logservice/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/burdockfold/burdockfold/internal/core/ident"
 	"github.com/burdockfold/burdockfold/internal/duty"
 	"github.com/burdockfold/burdockfold/internal/standin/logserver"
+	"github.com/burdockfold/burdockfold/internal/standin/rawserver"
 )
 
 // TestMain passes over the cleaner of fasthttp's worker pool, which ends by
@@ -211,3 +212,16 @@
 		}
 	})
 }
+
+// A spoilt head is no answer, and does not say that nothing was appended.
+func TestAnswerWithSpoiltHeadIsUnknown(t *testing.T) {
+	addr, answers := rawserver.Start(t)
+	c, err := NewClient(ClientConfig{BaseURL: "http://" + addr, RetryTime: time.Millisecond})
+	assert.NilError(t, err)
+	defer c.Close()
+	for _, start := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 503 Down\r\nX : y\r\n", "HTTP/1.1 200 OK\r\n\n", "HTTP/1.1 503 Down\r\nContent-Length: 2\r\n"} {
+		answers <- start + "Connection: close\r\nContent-Length: 12\r\n\r\n{\"offset\":0}"
+		_, err = c.Append(context.Background(), testStream, batch("a"))
+		assert.Check(t, errors.Is(err, ErrOutcomeUnknown), "%q: %v", start, err)
+	}
+}
--- a/internal/logservice/transport.go
+++ b/internal/logservice/transport.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/burdockfold/burdockfold/internal/httpconn"
 )
 
 const maxIdleConns = 4
@@ -76,10 +78,11 @@
 		return nil, err
 	}
 	counting := &countingConn{Conn: conn}
+	checked := httpconn.NewAnswerConn(counting)
 	return &connection{
 		conn: counting,
-		r:    bufio.NewReader(counting),
-		w:    bufio.NewWriter(counting),
+		r:    bufio.NewReader(checked),
+		w:    bufio.NewWriter(checked),
 	}, nil
 }
 
