hop: an answer of another daemon with a line that is no field is none

What was seen when the other places that read answers were checked: of the answers of other daemons only the status was examined. While daemons are updated, one of an earlier version may pass a server's spoilt line on to one that would refuse it from the server, and the caller gets it.

Change: checkHead wants valid names and values of all fields. As with a status that is none, the answer is a fault of the protocol between daemons, and the outcome of the request is unknown.

Evidence: TestAnswerWithSpoiltFieldIsRejected, nine spoilt fields and three valid ones; it failed before at the first spoilt one. Passes with the race detector, with all tests of the package. A fleet of mixed versions was not run.

--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -132,3 +132,32 @@
 		assert.Equal(t, got.Failure.Answer().Truth, errkind.Unknown)
 	}
 }
+
+// fieldAnswer implements Handler.
+type fieldAnswer Field
+
+func (f fieldAnswer) Serve(context.Context, *Request) *Answer {
+	return &Answer{Status: 200, Header: []Field{Field(f)}}
+}
+
+// A daemon of an earlier version may pass on the spoilt head of a server's answer.
+func TestAnswerWithSpoiltFieldIsRejected(t *testing.T) {
+	clock := ident.NewMonotonicClock()
+	for field, valid := range map[Field]bool{
+		{"X-A", "a\tb \xff"}: true, {"X-A", ""}: true, {"!#$%&'*+-.^_`|~09azAZ", "a"}: true,
+		{"X A", "a"}: false, {"X-A ", "a"}: false, {"", "a"}: false, {"X\x01", "a"}: false, {"X\nB", "a"}: false, {"X\x80", "a"}: false,
+		{"X-A", "a\r\nX-B: b"}: false, {"X-A", "a\x00"}: false, {"X-A", "a\nb"}: false,
+	} {
+		a, _ := startMesh(t, "a", nil)
+		b, to := startMesh(t, "b", nil)
+		b.SetHandlers(noControl{}, NewServer(fieldAnswer(field), &BodyBudget{}, clock, zap.NewNop()))
+		got := NewClient(a, clock).Send(context.Background(), to, &Request{Key: NoKey, Deadline: clock.Now().Add(time.Second)})
+		if valid {
+			assert.Assert(t, got.Failure == nil, "%q: %v", field, got.Failure)
+			continue
+		}
+		assert.Assert(t, got.Failure != nil, "%q", field)
+		assert.Equal(t, got.Failure.Kind, errkind.PeerProtocol)
+		assert.Equal(t, got.Failure.Answer().Truth, errkind.Unknown)
+	}
+}
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -83,7 +83,7 @@
 	defer func() { _ = stream.Body().Close() }()
 	a, size, err := decodeAnswer(stream.Head(), c.clock.Now())
 	if err == nil {
-		err = checkStatus(a)
+		err = checkHead(a)
 	}
 	if err != nil {
 		return &Answer{Failure: errkind.New(errkind.PeerProtocol, "%w", err), ReachedBackend: true}
--- a/internal/hop/wire.go
+++ b/internal/hop/wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/burdockfold/burdockfold/internal/codec"
 	"github.com/burdockfold/burdockfold/internal/core/advisory"
@@ -234,11 +235,20 @@
 	return time.Duration(min(max(ms, 0), maxPeerDuration.Milliseconds())) * time.Millisecond
 }
 
-// checkStatus returns an error if an answer that is no failure has a status of no final answer.
-func checkStatus(a *Answer) error {
-	if a.Failure == nil && (a.Status < fasthttp.StatusOK || a.Status > maxStatus) {
+// checkHead returns an error if an answer that is no failure has a status of no final answer, or a
+// line that is no field. A daemon of an earlier version passes such lines on.
+func checkHead(a *Answer) error {
+	if a.Failure != nil {
+		return nil
+	}
+	if a.Status < fasthttp.StatusOK || a.Status > maxStatus {
 		return fmt.Errorf("hop: answer of status %d", a.Status)
 	}
+	for _, f := range a.Header {
+		if !httpguts.ValidHeaderFieldName(f.Name) || !httpguts.ValidHeaderFieldValue(f.Value) {
+			return fmt.Errorf("hop: answer with the field %q: %q", f.Name, f.Value)
+		}
+	}
 	return nil
 }
 
