httpconn: names and comments after a reading of the change

ErrHead is ErrMalformedHead, with one place that wraps it; lengths are parsed by strconv. No change of what is accepted: the tests pass, and FuzzCheckHead for 20 s.

--- a/internal/httpconn/answerconn.go
+++ b/internal/httpconn/answerconn.go
@@ -8,17 +8,16 @@
 	"github.com/valyala/fasthttp"
 )
 
-// AnswerConn is a connection for an HTTP client that takes other heads than CheckHead for those of
-// answers too: it checks the head of each answer before the client reads it. An interim answer
-// fails: the calls that use it ask for none. Requests and answers alternate.
+// AnswerConn is a connection for HTTP clients that accept malformed heads: it validates the head of
+// each answer with CheckHead before the client reads it. Interim answers are errors, since the
+// clients ask for none. Requests and answers alternate.
 type AnswerConn struct {
 	net.Conn
 	r      *bufio.Reader
 	asking bool // a request was written whose answer has not begun
 }
 
-// answerConnBuffer bounds a head. HTTP clients have the same bound.
-const answerConnBuffer = 4 << 10
+const answerConnBuffer = 4 << 10 // the longest head; the same as in fasthttp's clients
 
 // NewAnswerConn returns an AnswerConn on top of c.
 func NewAnswerConn(c net.Conn) *AnswerConn {
@@ -36,7 +35,7 @@
 	if c.asking {
 		status, err := CheckHead(c.r)
 		if err == nil && status < fasthttp.StatusOK {
-			err = fmt.Errorf("%w: interim status %d", ErrHead, status)
+			err = fmt.Errorf("%w: interim status %d", ErrMalformedHead, status)
 		}
 		if err != nil {
 			return 0, err
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// ErrEndUnproven means that the connection ended after a write on it had failed. The kernel
-// reports a reset once: where the write has reported it, reads see the end of the stream that a
-// close would give.
+// ErrEndUnproven means that the connection ended after a write on it had failed, so that the end
+// may be a reset: the kernel reports a reset once, and where the write took the report, reads
+// return the end of the stream as after a close.
 var ErrEndUnproven = errors.New("httpconn: connection ended after a failed write")
 
 const connBufferBytes = 16 << 10
--- a/internal/httpconn/doc.go
+++ b/internal/httpconn/doc.go
@@ -2,7 +2,10 @@
 // transfers message bodies over them.
 //
 // A Pool dials connections to one address, bounds how many are in use at once and
-// reuses idle ones. WriteBody sends a request body, and NewBodyReader reads a
-// response body; neither reports a truncated body as complete. CheckHeader rejects
-// requests whose header lines two HTTP parsers might interpret differently.
+// reuses idle ones. WriteBody sends a request body, ReadHead reads the head of the
+// answer and NewBodyReader its body; none reports a truncated message as complete.
+//
+// CheckHeader rejects requests, and CheckHead answers, whose header lines two HTTP
+// parsers might interpret differently. AnswerConn applies CheckHead below HTTP clients
+// of the library.
 package httpconn
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -5,13 +5,15 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"math"
+	"strconv"
 
 	"github.com/valyala/fasthttp"
 )
 
-// ErrHead means that an answer does not begin with the head of one.
-var ErrHead = errors.New("httpconn: no head of an answer")
+// ErrMalformedHead means that the head of an answer is malformed by RFC 9112.
+var ErrMalformedHead = errors.New("httpconn: malformed head of an answer")
+
+var errNoFinalAnswer = errors.New("httpconn: only interim answers came")
 
 const maxInterim = 16 // interim answers read before the final one
 
@@ -29,13 +31,13 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%w: only interim answers came", ErrHead)
+	return errNoFinalAnswer
 }
 
-// CheckHead examines the head of the next answer without reading it, but for empty lines before
-// it, and returns its status. A head that is not one by RFC 9112 must not count for anything: HTTP
-// parsers repair it, each in its own way, and take other bytes for the body than the server sent.
-// The error wraps ErrStatusLine or ErrHead, or is that of r.
+// CheckHead validates the head of the next answer and returns its status. It consumes nothing but
+// empty lines before the head. HTTP parsers repair malformed heads, each in its own way, and may
+// take other bytes for the body than the server sent: nothing that such a head states counts. The
+// error wraps ErrStatusLine or ErrMalformedHead, or is that of r.
 func CheckHead(r *bufio.Reader) (status int, err error) {
 	status, err = checkStatus(r)
 	if err != nil {
@@ -46,7 +48,7 @@
 		return 0, err
 	}
 	if hasControl(line) {
-		return 0, fmt.Errorf("%w: %w", ErrHead, ErrControlInLine)
+		return 0, fmt.Errorf("%w: %w", ErrMalformedHead, ErrControlInLine)
 	}
 	f := framing{version10: bytes.HasPrefix(line, []byte("HTTP/1.0"))}
 	for at := len(line) + len(lineEnd); ; at += len(line) + len(lineEnd) {
@@ -54,20 +56,29 @@
 		if err != nil {
 			return 0, err
 		}
-		if len(line) == 0 {
-			return status, f.check()
+		last := len(line) == 0
+		if last {
+			err = f.check()
+		} else {
+			err = f.addField(line)
+		}
+		if err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrMalformedHead, err)
 		}
-		if err := f.addField(line); err != nil {
-			return 0, fmt.Errorf("%w: %w", ErrHead, err)
+		if last {
+			return status, nil
 		}
 	}
 }
 
-const lineEnd = "\r\n"
+const (
+	lineEnd    = "\r\n"
+	lengthBits = 63 // of a Content-Length, which the HTTP library holds in an int
+)
 
-// peekLine returns the line that begins at a position of the unread bytes, without its end. It is
-// valid until the next read. A line feed alone ends no line: it may have come into a name or a
-// value, and what seems to be the body may be the rest of the head.
+// peekLine returns the line that begins at offset at of the unread bytes, without its CRLF. The line
+// is valid until the next read. A bare line feed is an error: it may stand within a field name, and
+// a parser that ends a line there may end the head there too.
 func peekLine(r *bufio.Reader, at int) ([]byte, error) {
 	for searched := at; ; {
 		b, err := r.Peek(max(r.Buffered(), searched+1))
@@ -77,7 +88,7 @@
 		if i := bytes.IndexByte(b[searched:], '\n'); i >= 0 {
 			line, ok := bytes.CutSuffix(b[at:searched+i+1], []byte(lineEnd))
 			if !ok {
-				return nil, fmt.Errorf("%w: %w", ErrHead, ErrControlInLine)
+				return nil, fmt.Errorf("%w: %w", ErrMalformedHead, ErrControlInLine)
 			}
 			return line, nil
 		}
@@ -85,16 +96,16 @@
 	}
 }
 
-// framing is what the fields of a head tell of the body's length.
+// framing is what the head of an answer states about the length of the body.
 type framing struct {
-	version10 bool // the answer is of HTTP/1.0
+	version10 bool // the version is HTTP/1.0, which has no transfer codings
 	chunked   bool
 	hasLength bool
-	length    int64
+	length    uint64
 }
 
-// addField checks a line of the head, without its end, and adds what it tells. The same length may
-// be told twice (RFC 9112, section 6.3). Of the codings only chunked is ever asked for.
+// addField validates a header line, without its CRLF, and adds what it states. The same length may
+// be stated twice (RFC 9112, section 6.3). Requests ask for no transfer coding but chunked.
 func (f *framing) addField(line []byte) error {
 	name, value, err := splitField(line)
 	if err != nil {
@@ -103,8 +114,8 @@
 	value = bytes.Trim(value, " \t")
 	switch {
 	case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
-		length, ok := parseLength(value)
-		if !ok || f.hasLength && f.length != length {
+		length, err := strconv.ParseUint(string(value), 10, lengthBits)
+		if err != nil || f.hasLength && f.length != length {
 			return ErrAmbiguousLength
 		}
 		f.hasLength, f.length = true, length
@@ -117,22 +128,10 @@
 	return nil
 }
 
-// check returns an error if the whole head does not tell one length of the body. In HTTP/1.0 there
-// are no codings.
+// check returns an error if the fields of the whole head contradict each other.
 func (f *framing) check() error {
 	if f.chunked && (f.hasLength || f.version10) {
-		return fmt.Errorf("%w: %w", ErrHead, ErrAmbiguousLength)
+		return ErrAmbiguousLength
 	}
 	return nil
 }
-
-// parseLength returns the value of a Content-Length field, which has digits only.
-func parseLength(value []byte) (length int64, ok bool) {
-	for _, c := range value {
-		if c < '0' || c > '9' || length > (math.MaxInt64-9)/10 {
-			return 0, false
-		}
-		length = 10*length + int64(c-'0')
-	}
-	return length, len(value) > 0
-}
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -49,7 +50,7 @@
 	defer func() { _ = w.Close() }()
 	go func() { _, _ = io.WriteString(w, "HTTP/1.1 200 OK\nContent-Length: 2\n\nhi") }()
 	_, err := CheckHead(bufio.NewReader(r))
-	assert.ErrorIs(t, err, ErrHead)
+	assert.ErrorIs(t, err, ErrMalformedHead)
 }
 
 // Of a head that is accepted, the library reads all, and the same length.
@@ -96,8 +97,8 @@
 		value = strings.Trim(value, " \t")
 		switch strings.ToLower(name) {
 		case "content-length":
-			n, ok := parseLength([]byte(value))
-			if !ok {
+			n, err := strconv.ParseInt(value, 10, 64)
+			if err != nil || value[0] < '0' {
 				return 0, false
 			}
 			lengths[n] = true
