--- a/internal/standin/shardserver/late.go
+++ b/internal/standin/shardserver/late.go
@@ -17,6 +17,13 @@
 	}
 }
 
+// AwaitSilence stops the heartbeats and waits for the end of the one under way.
+func (s *Server) AwaitSilence() {
+	s.sending.Lock()
+	defer s.sending.Unlock()
+	s.StopHeartbeats()
+}
+
 // SendWithoutLists sends a heartbeat under the server's name that another writer made: it says
 // that the server drains, and lacks the lists of keys. ahead is by how much its sequence is
 // greater than the server's last.
--- a/internal/standin/shardserver/server.go
+++ b/internal/standin/shardserver/server.go
@@ -37,6 +37,8 @@
 	born   int64 // Unix time of the start, in ms
 	client *http.Client
 
+	sending sync.Mutex // held while a heartbeat is under way; locked before mu
+
 	mu          sync.Mutex // guards the fields below
 	sequence    int
 	state       string
@@ -190,6 +192,8 @@
 // sendHeartbeat sends one heartbeat and applies the grant in the answer. It reports
 // whether the server released keys.
 func (s *Server) sendHeartbeat() (released bool) {
+	s.sending.Lock()
+	defer s.sending.Unlock()
 	s.mu.Lock()
 	if s.silent {
 		s.mu.Unlock()
