ctl: a malformed head of a daemon's answer is no answer

Seen in a test: burdockctl took 6 of 7 malformed heads before whole JSON for answers, in plain text and over TLS: status 000 (as 200), two lengths the last of which is right, a blank in a name, before the colon of the length and of the coding, the coding identity beside a length. It printed what the body says and exited with 0. The seventh, a folded first line, the HTTP library refuses.

Cause: the client hands the head to the HTTP library, which repairs it. It was left out when the other clients got httpconn.AnswerConn, because the library adds TLS on top of the connection that it is given, below which there is no head to see.

Change: the client establishes TLS itself and puts the AnswerConn on top. The method Handshake tells the library that TLS is there.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/burdockfold/burdockfold/internal/errkind"
+	"github.com/burdockfold/burdockfold/internal/httpconn"
 )
 
 // maxAnswerBytes bounds an answer of the administration API.
@@ -22,14 +24,16 @@
 type client struct {
 	http    *fasthttp.Client
 	scheme  string
+	tls     *tls.Config // nil: plain text
 	timeout time.Duration
 }
 
 func (a *app) client() (*client, error) {
 	c := &client{timeout: a.timeout, scheme: "http://"}
-	c.http = &fasthttp.Client{Name: "burdockctl", MaxResponseBodySize: maxAnswerBytes}
+	c.http = &fasthttp.Client{Name: "burdockctl", MaxResponseBodySize: maxAnswerBytes, Dial: c.dial}
 	if strings.HasPrefix(a.admin, "https://") {
 		c.scheme = "https://"
+		c.tls = &tls.Config{MinVersion: tls.VersionTLS12}
 	}
 	if a.caFile == "" {
 		return c, nil
@@ -42,10 +46,41 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, exitf(ExitUsage, "-ca-file: no certificate in %s", a.caFile)
 	}
-	c.http.TLSConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	if c.tls != nil {
+		c.tls.RootCAs = pool
+	}
 	return c, nil
 }
 
+// dial connects to a daemon. The connection validates the heads of answers, which the HTTP client
+// does not.
+func (c *client) dial(addr string) (net.Conn, error) {
+	conn, err := fasthttp.Dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	if c.tls == nil {
+		return httpconn.NewAnswerConn(conn), nil
+	}
+	config := c.tls.Clone()
+	config.ServerName, _, err = net.SplitHostPort(addr)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	tc := tls.Client(conn, config)
+	return &tlsAnswerConn{AnswerConn: httpconn.NewAnswerConn(tc), tls: tc}, nil
+}
+
+// tlsAnswerConn is an AnswerConn on top of TLS.
+type tlsAnswerConn struct {
+	*httpconn.AnswerConn
+	tls *tls.Conn
+}
+
+// Handshake tells fasthttp that the connection uses TLS already, so that it adds no second layer.
+func (c *tlsAnswerConn) Handshake() error { return c.tls.Handshake() }
+
 // urlOf returns the base URL of another daemon by its administration address.
 func (c *client) urlOf(addr string) string { return c.scheme + addr }
 
