ctl: the time limit holds for the handshake of TLS

Cause: the HTTP library sets its limits for the write of the request and the read of the answer. The handshake ran within the first write and reads without a limit.

Change: the client completes the handshake within the time limit as it connects.

Evidence: TestSilentDaemonIsGivenUp waited on for 10 s over TLS before and passes now, in plain text it passed before too; the package's tests passed three times with the race detector.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -52,8 +52,8 @@
 	return c, nil
 }
 
-// dial connects to a daemon. The connection validates the heads of answers, which the HTTP client
-// does not.
+// dial connects to a daemon, with TLS if the client uses it. The connection validates the heads of
+// answers, which the HTTP client does not.
 func (c *client) dial(addr string) (net.Conn, error) {
 	conn, err := fasthttp.Dial(addr)
 	if err != nil {
@@ -62,16 +62,29 @@
 	if c.tls == nil {
 		return httpconn.NewAnswerConn(conn), nil
 	}
-	config := c.tls.Clone()
-	config.ServerName, _, err = net.SplitHostPort(addr)
+	tc, err := c.handshake(conn, addr)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	tc := tls.Client(conn, config)
 	return &tlsAnswerConn{AnswerConn: httpconn.NewAnswerConn(tc), tls: tc}, nil
 }
 
+// handshake establishes TLS within the time limit of a request, which the HTTP client does not
+// apply to it.
+func (c *client) handshake(conn net.Conn, addr string) (*tls.Conn, error) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	config := c.tls.Clone()
+	config.ServerName = host
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+	defer cancel()
+	tc := tls.Client(conn, config)
+	return tc, tc.HandshakeContext(ctx)
+}
+
 // tlsAnswerConn is an AnswerConn on top of TLS.
 type tlsAnswerConn struct {
 	*httpconn.AnswerConn
--- a/internal/ctl/client_test.go
+++ b/internal/ctl/client_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"encoding/pem"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -76,3 +79,24 @@
 		}
 	}
 }
+
+// A daemon that accepts the connection and sends nothing, in the handshake of TLS too, is given up
+// after the time limit.
+func TestSilentDaemonIsGivenUp(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, ln.Close()) }()
+	for _, scheme := range []string{"http://", "https://"} {
+		ended := make(chan ctl.ExitCode, 1)
+		go func() {
+			args := []string{"member", "list", "-timeout", "200ms", "-admin", scheme + ln.Addr().String()}
+			ended <- ctl.Run(t.Context(), args, ctl.Env{Stdout: io.Discard, Stderr: io.Discard})
+		}()
+		select {
+		case code := <-ended:
+			assert.Equal(t, code, ctl.ExitUnreachable)
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%s: the command waits on", scheme)
+		}
+	}
+}
